--- /dev/null
+++ b/core/src/admit.rs
@@ -0,0 +1,31 @@
+//! Stage 2, admit: what the bounds allow goes to the module; the rest is refused at once.
+
+use crate::{Core, Due, RequestId};
+use fernlink::interface::{Event, Micros, Query};
+
+/// Advice with a refusal that only the bound on open requests caused.
+const FULL_ADVICE: Micros = 250_000;
+
+impl Core {
+    pub(crate) fn admit(&mut self, now: Micros, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if self.open > self.limits.open || usize::from(request.ask.class) >= self.classes {
+            return self.refuse(id, FULL_ADVICE);
+        }
+        let ask = &request.ask;
+        let query = Query {
+            id: crate::query(id),
+            class: ask.class,
+            tenant: 0,
+            work: ask.work,
+            memory_mb: ask.memory_mb,
+            tables: ask.tables,
+            key: ask.key,
+            budget: ask.budget,
+        };
+        // The module answers in time by itself; this guards the promise should it ever not.
+        let last = request.deadline.saturating_sub(self.limits.answer_margin);
+        self.set_timer(last, Due::Answer(id));
+        self.tell(now, Event::Arrived(query));
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,187 @@
+//! A request's life between a client's front and an engine's back end.
+//!
+//! [`Core`] owns what [`fernlink`] does not: internal ids, deadlines, attempts, timers, the book and the
+//! one final answer. It knows no wire, socket or clock: hosts pass the time in, report what their
+//! connections saw, and carry out the [`Command`]s that come back.
+//!
+//! A request passes six stages, each a file: take in, admit, route, send, relay, book.
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod admit;
+mod book;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+
+pub use book::Counters;
+pub use fernlink::interface::{EngineId, ListKind, Listed, Micros, Note, Outcome, Phase};
+pub use send::{AttemptError, Cause, Progress};
+pub use take_in::{Ask, Taken};
+
+use fernlink::interface::{Action, Event, QueryId, Settings};
+use fernlink::Controller;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::rc::Rc;
+
+/// A request's number inside this program; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptKey {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number, from 0.
+    pub number: u8,
+}
+
+/// Bounds that the host sets, beside the module's settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Requests open at once; more are refused.
+    pub open: usize,
+    /// A probe not answered by then has failed.
+    pub probe_timeout: Micros,
+    /// A final answer leaves at least this long before the client gives up.
+    pub answer_margin: Micros,
+}
+
+/// What a host is to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Bring an attempt to an engine; ask [`Core::may_write`] before its first byte.
+    Send(AttemptKey, EngineId),
+    /// Stop waiting for an attempt.
+    Abandon(AttemptKey, EngineId),
+    /// Probe an engine under this tag.
+    Probe(EngineId, u64),
+    /// Final answer: refused; the client should stay away for this long.
+    Refuse(RequestId, Micros),
+    /// Final answer: failed, with the engine's words if there were any.
+    Fail(RequestId, Option<Rc<str>>),
+    /// Pass a piece of the answer on.
+    Relay(RequestId, Vec<u8>),
+    /// Final answer: served; all pieces have been passed on.
+    Finish(RequestId),
+    /// Final answer: an answer begun cannot be finished; the client must see that.
+    Break(RequestId, Option<Rc<str>>),
+    /// The engine is gone: its idle connections may close.
+    Forget(EngineId),
+    /// A line for the operators.
+    Log(String),
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake(u64),
+    Attempt(AttemptKey),
+    Answer(RequestId),
+    Probe(u64),
+}
+
+/// A request that is not over yet.
+struct Request {
+    ask: Ask,
+    deadline: Micros,
+    /// It has its final answer, or the client left and none is owed.
+    closed: bool,
+    /// The attempt whose answer the client is getting, once a piece has been passed on.
+    relaying: Option<u8>,
+    attempts: Vec<send::Attempt>,
+    /// The last engine's words on what went wrong.
+    words: Option<Rc<str>>,
+}
+
+/// The coordinator without its sockets.
+pub struct Core {
+    controller: Controller,
+    limits: Limits,
+    classes: usize,
+    requests: BTreeMap<RequestId, Request>,
+    open: usize,
+    phases: BTreeMap<EngineId, Phase>,
+    probes: BTreeMap<u64, EngineId>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    /// One count for request ids, probe tags and the order of timers: none is ever used twice.
+    last: u64,
+    commands: VecDeque<Command>,
+    counters: Counters,
+}
+
+impl Core {
+    /// A core that has taken nothing yet.
+    pub fn new(settings: Settings, limits: Limits, seed: u64) -> Core {
+        Core {
+            classes: settings.classes.len(),
+            controller: Controller::new(settings, seed),
+            limits,
+            requests: BTreeMap::new(),
+            open: 0,
+            phases: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            last: 0,
+            commands: VecDeque::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// The next thing to do, if any.
+    pub fn command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
+    }
+
+    /// When [`Core::tick`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|t| t.0 .0)
+    }
+
+    /// Lets all timers come due that should have by now.
+    pub fn tick(&mut self, now: Micros) {
+        while self.next_due().is_some_and(|at| at <= now) {
+            let Some(Reverse((_, _, due))) = self.timers.pop() else { return };
+            match due {
+                Due::Wake(token) => self.tell(now, Event::Woken(token)),
+                Due::Attempt(key) => self.attempt_timed_out(now, key),
+                Due::Answer(id) => self.answer_is_due(now, id),
+                Due::Probe(tag) => self.probed(now, tag, Outcome::TimedOut, &[]),
+            }
+        }
+    }
+
+    /// Requests with no final answer yet.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    fn set_timer(&mut self, at: Micros, due: Due) {
+        let order = self.next();
+        self.timers.push(Reverse((at, order, due)));
+    }
+
+    /// Tells the module, and carries out what it asks for.
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut actions: Vec<Action> = Vec::new();
+        self.controller.handle(now, event, &mut actions);
+        self.route(now, actions);
+    }
+}
+
+fn query(id: RequestId) -> QueryId {
+    QueryId(id.0)
+}
--- /dev/null
+++ b/core/src/relay.rs
@@ -0,0 +1,83 @@
+//! Stage 5, relay: an engine's answer goes to the client, and each request is answered once.
+
+use crate::{AttemptKey, Command, Core, Progress, RequestId};
+use fernlink::interface::{Event, Micros, Outcome};
+
+impl Core {
+    /// A piece of an attempt's answer, to be passed on. From here on the request is tied to the attempt.
+    pub fn relay(&mut self, key: AttemptKey, piece: Vec<u8>) {
+        self.reached(key, Progress::AnswerBegun);
+        let Some(request) = self.requests.get_mut(&key.request).filter(|r| !r.closed) else { return };
+        if request.attempts.get(usize::from(key.number)).is_some_and(|a| a.outcome.is_none()) {
+            request.relaying = Some(key.number);
+            self.commands.push_back(Command::Relay(key.request, piece));
+        }
+    }
+
+    /// An attempt's answer is whole.
+    pub fn served(&mut self, now: Micros, key: AttemptKey, report: &[f64]) {
+        if self.out(key).is_none() {
+            return;
+        }
+        if self.close(key.request) {
+            self.counters.served += 1;
+            self.commands.push_back(Command::Finish(key.request));
+        }
+        self.end(now, key, Outcome::Ok, report);
+    }
+
+    pub(crate) fn refuse(&mut self, id: RequestId, advice: Micros) {
+        // A refusal promises that nothing was served: with a piece out it would be untrue.
+        if self.requests.get(&id).is_some_and(|r| r.relaying.is_some()) {
+            return self.fail(id);
+        }
+        if self.close(id) {
+            self.counters.refused += 1;
+            self.commands.push_back(Command::Refuse(id, advice));
+        }
+        self.drop_if_over(id);
+    }
+
+    pub(crate) fn fail(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (begun, words) = (request.relaying.is_some(), request.words.clone());
+        if self.close(id) {
+            let count = if begun { &mut self.counters.broken } else { &mut self.counters.failed };
+            *count += 1;
+            self.commands.push_back(match begun {
+                true => Command::Break(id, words),
+                false => Command::Fail(id, words),
+            });
+        }
+        self.drop_if_over(id);
+    }
+
+    /// The last moment for an answer: the module should have given one before.
+    pub(crate) fn answer_is_due(&mut self, now: Micros, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|r| !r.closed) {
+            self.counters.overdue += 1;
+            self.fail(id);
+            self.tell(now, Event::ClientGone(crate::query(id)));
+        }
+    }
+
+    /// Closes a request; false if it was closed before. Whoever closes it gives the one final answer.
+    pub(crate) fn close(&mut self, id: RequestId) -> bool {
+        match self.requests.get_mut(&id) {
+            Some(request) if !request.closed => {
+                request.closed = true;
+                self.open -= 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Forgets a request that is closed and has nothing out.
+    pub(crate) fn drop_if_over(&mut self, id: RequestId) {
+        let over = |r: &crate::Request| r.closed && r.attempts.iter().all(|a| a.outcome.is_some());
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/route.rs
@@ -0,0 +1,91 @@
+//! Stage 3, route: the module's actions become attempts, answers, timers and probes.
+
+use crate::send::Attempt;
+use crate::{query, AttemptKey, Command, Core, Due, RequestId};
+use fernlink::interface::{Action, Ended, EngineId, Event, Micros, Outcome, QueryId};
+use std::collections::VecDeque;
+
+impl Core {
+    pub(crate) fn route(&mut self, now: Micros, actions: Vec<Action>) {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Send(id, engine, patience) => {
+                    if let Some(number) = self.attempt(now, RequestId(id.0), engine, patience) {
+                        // The module counts a send that was never made, so it must hear of its end.
+                        let mut more = Vec::new();
+                        let end = moot(id, number);
+                        self.counters.ended[crate::book::place(Outcome::Moot)] += 1;
+                        self.controller.handle(now, Event::Ended(end), &mut more);
+                        actions.extend(more);
+                    }
+                }
+                Action::Refuse(id, advice) => self.refuse(RequestId(id.0), advice),
+                Action::Fail(id) => self.fail(RequestId(id.0)),
+                Action::Wake(after, token) => self.set_timer(now.saturating_add(after), Due::Wake(token)),
+                Action::Probe(engine) => self.probe(now, engine),
+                Action::Log(line) => self.commands.push_back(Command::Log(line)),
+                // Nothing here to grant memory to, no attempt may be called off, coordinators share
+                // nothing, and lists are pushed: the settings keep the module from asking for these.
+                Action::Terms(..) | Action::Cancel(..) | Action::Tell(..) | Action::Subscribe => {}
+            }
+        }
+    }
+
+    /// Starts an attempt; its number if it is over before it began.
+    fn attempt(&mut self, now: Micros, id: RequestId, engine: EngineId, patience: Micros) -> Option<u8> {
+        let request = self.requests.get_mut(&id)?;
+        let number = request.attempts.len() as u8;
+        let until = now.saturating_add(patience).min(request.deadline);
+        let out = request.attempts.iter().any(|a| a.outcome.is_none());
+        let barred = request.closed || request.relaying.is_some() || out;
+        request.attempts.push(Attempt::new(engine, now, until, barred.then_some(Outcome::Moot)));
+        if barred {
+            return Some(number);
+        }
+        self.counters.sent += 1;
+        self.counters.further += u64::from(number > 0);
+        let key = AttemptKey { request: id, number };
+        self.set_timer(until, Due::Attempt(key));
+        self.commands.push_back(Command::Send(key, engine));
+        None
+    }
+
+    fn probe(&mut self, now: Micros, engine: EngineId) {
+        let tag = self.next();
+        self.probes.insert(tag, engine);
+        self.counters.probes += 1;
+        self.set_timer(now + self.limits.probe_timeout, Due::Probe(tag));
+        self.commands.push_back(Command::Probe(engine, tag));
+    }
+
+    /// A probe's result; only its first counts.
+    pub fn probed(&mut self, now: Micros, tag: u64, outcome: Outcome, report: &[f64]) {
+        if let Some(engine) = self.probes.remove(&tag) {
+            self.counters.probes_answered += u64::from(outcome == Outcome::Ok);
+            self.tell(now, Event::Probed(engine, outcome, report));
+        }
+    }
+
+    /// The client has left: no answer is owed. What is out still counts until it ends.
+    pub fn left(&mut self, now: Micros, id: RequestId) {
+        if self.close(id) {
+            self.counters.left += 1;
+            self.tell(now, Event::ClientGone(query(id)));
+            self.drop_if_over(id);
+        }
+    }
+}
+
+fn moot(query: QueryId, attempt: u8) -> Ended<'static> {
+    Ended {
+        query,
+        attempt,
+        outcome: Outcome::Moot,
+        last: false,
+        spent: 0,
+        work: None,
+        memory_mb: None,
+        report: &[],
+    }
+}
--- /dev/null
+++ b/core/src/send.rs
@@ -0,0 +1,178 @@
+//! Stage 4, send: how far each attempt has come, and what its end means for the rules.
+
+use crate::{query, AttemptKey, Command, Core};
+use fernlink::interface::{Ended, EngineId, Event, Micros, Note, Outcome, Phase};
+use std::fmt;
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Progress {
+    /// No connection yet.
+    NotConnected,
+    /// Connected; none of it written.
+    Connected,
+    /// Some of it written, not all: an engine cannot have run it.
+    PartWritten,
+    /// All of it written: it may run.
+    WrittenWhole,
+    /// Part of the answer has come.
+    AnswerBegun,
+}
+
+/// Why an attempt ended without serving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection failed, or its peer spoke nonsense.
+    Connection(String),
+    /// Its time ran out.
+    TimedOut,
+    /// The engine turned it away unseen.
+    TurnedAway,
+    /// The engine answered with an error.
+    Engine(String),
+    /// The engine left, or the time ran out, before a byte was written.
+    Withheld,
+    /// The statement itself is at fault: no other engine would do better.
+    Statement(String),
+}
+
+/// The end of an attempt that did not serve: how far it had come, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptError {
+    /// How far it had come.
+    pub progress: Progress,
+    /// Why it ended.
+    pub cause: Cause,
+}
+
+impl AttemptError {
+    /// What this proves, in the module's words.
+    pub fn outcome(&self) -> Outcome {
+        match self.cause {
+            Cause::TurnedAway => Outcome::Full,
+            Cause::Withheld => Outcome::Moot,
+            Cause::Engine(_) => Outcome::Error,
+            Cause::Statement(_) => Outcome::Cancelled,
+            // Not written whole, it cannot have run: the connection's end gives up the written part.
+            Cause::Connection(_) if self.progress < Progress::WrittenWhole => Outcome::Unreachable,
+            Cause::Connection(_) => Outcome::Reset,
+            Cause::TimedOut if self.progress < Progress::PartWritten => Outcome::Unreachable,
+            // A part already on its way may still become whole behind our back.
+            Cause::TimedOut => Outcome::TimedOut,
+        }
+    }
+}
+
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let how = match self.progress {
+            Progress::NotConnected => "not connected",
+            Progress::Connected => "connected",
+            Progress::PartWritten => "part written",
+            Progress::WrittenWhole => "written whole",
+            Progress::AnswerBegun => "answer begun",
+        };
+        match &self.cause {
+            Cause::Connection(why) => write!(f, "{how}: connection failed: {why}"),
+            Cause::TimedOut => write!(f, "{how}: timed out"),
+            Cause::TurnedAway => write!(f, "{how}: turned away"),
+            Cause::Engine(why) => write!(f, "{how}: engine error: {why}"),
+            Cause::Withheld => write!(f, "{how}: withheld"),
+            Cause::Statement(why) => write!(f, "{how}: statement at fault: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for AttemptError {}
+
+pub(crate) struct Attempt {
+    pub engine: EngineId,
+    pub sent: Micros,
+    pub until: Micros,
+    pub progress: Progress,
+    pub outcome: Option<Outcome>,
+}
+
+impl Attempt {
+    pub fn new(engine: EngineId, sent: Micros, until: Micros, outcome: Option<Outcome>) -> Attempt {
+        Attempt { engine, sent, until, progress: Progress::NotConnected, outcome }
+    }
+}
+
+impl Core {
+    pub(crate) fn out(&mut self, key: AttemptKey) -> Option<&mut Attempt> {
+        let attempt = self.requests.get_mut(&key.request)?.attempts.get_mut(usize::from(key.number))?;
+        attempt.outcome.is_none().then_some(attempt)
+    }
+
+    /// Whether an attempt still waits for its end.
+    pub fn is_out(&self, key: AttemptKey) -> bool {
+        let attempts = self.requests.get(&key.request).map(|r| &r.attempts);
+        attempts.and_then(|a| a.get(usize::from(key.number))).is_some_and(|a| a.outcome.is_none())
+    }
+
+    /// Asked right before an attempt's first byte: how long it may take, or `None` if it must not go.
+    /// The engine may have begun to drain, or the time run out, while the connection came up.
+    pub fn may_write(&mut self, now: Micros, key: AttemptKey) -> Option<Micros> {
+        let closed = self.requests.get(&key.request).is_none_or(|r| r.closed);
+        let attempt = self.out(key)?;
+        let (engine, left) = (attempt.engine, attempt.until.saturating_sub(now));
+        let ready = self.phases.get(&engine) == Some(&Phase::Ready);
+        if ready && left > 0 && !closed {
+            return Some(left);
+        }
+        self.attempt_failed(now, key, Cause::Withheld);
+        None
+    }
+
+    /// An attempt has come this far.
+    pub fn reached(&mut self, key: AttemptKey, progress: Progress) {
+        if let Some(attempt) = self.out(key) {
+            attempt.progress = attempt.progress.max(progress);
+        }
+    }
+
+    /// Word on an attempt that is out.
+    pub fn noted(&mut self, now: Micros, key: AttemptKey, note: Note) {
+        if self.out(key).is_some() {
+            self.tell(now, Event::Noted(query(key.request), key.number, note));
+        }
+    }
+
+    /// An attempt ended without serving.
+    pub fn attempt_failed(&mut self, now: Micros, key: AttemptKey, cause: Cause) -> Option<AttemptError> {
+        let progress = self.out(key)?.progress;
+        if let (Cause::Engine(words) | Cause::Statement(words), Some(request)) =
+            (&cause, self.requests.get_mut(&key.request))
+        {
+            request.words = Some(words.as_str().into());
+        }
+        let error = AttemptError { progress, cause };
+        let relaying = self.requests.get(&key.request).is_some_and(|r| r.relaying == Some(key.number));
+        if relaying || matches!(error.cause, Cause::Statement(_)) {
+            // Once the client has a piece nothing is begun anew: another run could give other rows.
+            self.fail(key.request);
+        }
+        self.end(now, key, error.outcome(), &[]);
+        Some(error)
+    }
+
+    pub(crate) fn attempt_timed_out(&mut self, now: Micros, key: AttemptKey) {
+        let Some(engine) = self.out(key).map(|a| a.engine) else { return };
+        self.commands.push_back(Command::Abandon(key, engine));
+        self.attempt_failed(now, key, Cause::TimedOut);
+    }
+
+    /// Books an attempt's end and tells the module.
+    pub(crate) fn end(&mut self, now: Micros, key: AttemptKey, outcome: Outcome, report: &[f64]) {
+        let Some(attempt) = self.out(key) else { return };
+        attempt.outcome = Some(outcome);
+        let spent = now.saturating_sub(attempt.sent);
+        self.counters.ended[crate::book::place(outcome)] += 1;
+        let last = self.requests.get(&key.request).is_some_and(|r| r.closed);
+        let (query, attempt) = (query(key.request), key.number);
+        let end = Ended { query, attempt, outcome, last, spent, work: None, memory_mb: None, report };
+        self.tell(now, Event::Ended(end));
+        self.drop_if_over(key.request);
+    }
+}
--- /dev/null
+++ b/node/src/backs/mod.rs
@@ -0,0 +1,61 @@
+//! Back ends: what is spoken on engines' connections, without their sockets.
+
+pub mod lines;
+
+use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome};
+use std::rc::Rc;
+
+/// What an engine's connection has brought.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    /// Word on an attempt.
+    Noted(AttemptKey, Note),
+    /// The answer has begun.
+    Begun(AttemptKey),
+    /// A piece of the answer, to be passed on.
+    Piece(AttemptKey, Vec<u8>),
+    /// The answer is whole.
+    Served(AttemptKey, Vec<f64>),
+    /// The attempt ended without serving.
+    Failed(AttemptKey, Cause),
+    /// A probe's result.
+    Probed(u64, Outcome, Vec<f64>),
+}
+
+/// An attempt to be written.
+pub struct Start<'a> {
+    /// Which.
+    pub key: AttemptKey,
+    /// The client's name for the request.
+    pub call: &'a Rc<str>,
+    /// The name of its class.
+    pub class: &'a str,
+    /// How long the coordinator will wait.
+    pub patience: Micros,
+    /// The statement.
+    pub statement: &'a [u8],
+}
+
+/// One connection's conversation.
+pub trait Session {
+    /// Attempts that may be out on it at once.
+    fn most(&self) -> usize;
+    /// Attempts out on it.
+    fn open(&self) -> Vec<AttemptKey>;
+    /// Whether it may take a request of this name now.
+    fn takes(&self, call: &str) -> bool;
+    /// Whether anything is out on it, probes too.
+    fn is_idle(&self) -> bool;
+    /// Writes an attempt.
+    fn start(&mut self, start: &Start, out: &mut Vec<u8>);
+    /// Gives an attempt up; false if only closing the connection does that.
+    fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool;
+    /// Writes a probe.
+    fn probe(&mut self, tag: u64, out: &mut Vec<u8>);
+    /// Bytes have come; an error ends the connection.
+    fn feed(&mut self, input: &[u8], out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String>;
+    /// The engine has ended its side.
+    fn ended(&mut self, seen: &mut Vec<Seen>);
+    /// Whether the connection can't be used again.
+    fn is_spent(&self) -> bool;
+}
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,136 @@
+//! A coordinator's configuration: what the platform, or an operator's file, says.
+
+use driftfront_core::{Limits, Micros};
+use driftfront_settings::json::{parse, Json};
+use fernlink::interface::Settings;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use tinyjson::JsonValue;
+
+/// Which interface clients and engines speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wire {
+    /// The platform's.
+    Platform,
+    /// ClickHouse's HTTP interface.
+    ClickHouse,
+}
+
+/// Where the list of engines comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// The platform's event stream at this address.
+    Stream(SocketAddr),
+    /// Only what the configuration lists.
+    Fixed,
+}
+
+/// All that a coordinator is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Clients' and engines' interface.
+    pub wire: Wire,
+    /// Where the list of engines comes from.
+    pub membership: Membership,
+    /// Number of the last event in `known`.
+    pub known_index: u64,
+    /// Events of the list so far.
+    pub known: Vec<JsonValue>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of the classes, by place.
+    pub classes: Rc<[String]>,
+    /// Names of zones and of machine kinds, by place.
+    pub zones: Vec<String>,
+    /// See `zones`.
+    pub kinds: Vec<String>,
+    /// Names of a load report's values on the engines' wire, in order.
+    pub gauges: Rc<[String]>,
+    /// A connection not up by then has failed.
+    pub connect_timeout: Micros,
+    /// Engines close connections idle for this long.
+    pub idle: Micros,
+    /// Attempts that one connection carries.
+    pub streams: usize,
+    /// Bounds for the core.
+    pub limits: Limits,
+}
+
+/// A key's rest is lengthened by this: an attempt's end reaches the engine after we book it.
+const SETTLE_MARGIN: Micros = 40_000;
+/// Probes that take longer have failed.
+const PROBE_TIMEOUT: Micros = 300_000;
+/// The guard of the last moment answers this long before the client gives up.
+const ANSWER_MARGIN: Micros = 3_000;
+
+/// The wire's names for values of a load report, where the settings use others.
+const GAUGES: [(&str, &str); 5] =
+    [("active", "inflight"), ("waiting", "queue"), ("cpu", "util"), ("avg_ms", "latency_ms"), ("rps", "qps")];
+
+impl Config {
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Config, String> {
+        let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Config::read(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// Reads a text; keys that are not known are skipped.
+    pub fn read(text: &[u8]) -> Result<Config, String> {
+        let root = parse(text)?;
+        let root = Json(Some(&root));
+        let text = |key: &str| root.get(key).text().ok_or(format!("{key} is missing or not a string"));
+        let listen = text("listen")?.parse().map_err(|e| format!("listen: {e}"))?;
+        let json = root.get("settings");
+        let mut settings = driftfront_settings::from_json(json).map_err(|e| format!("settings: {e}"))?;
+        settings.settle += SETTLE_MARGIN;
+        let wire = match root.get("front").text() {
+            None | Some("platform") => Wire::Platform,
+            Some("clickhouse") => Wire::ClickHouse,
+            Some(other) => return Err(format!("front: unknown: {other}")),
+        };
+        let membership = match root.get("coordinator").text() {
+            Some(addr) => Membership::Stream(addr.parse().map_err(|e| format!("coordinator: {e}"))?),
+            None => Membership::Fixed,
+        };
+        let names = |list: Json| -> Vec<String> {
+            list.each().map(|n| n.text().unwrap_or_default().to_string()).collect()
+        };
+        let caps = json.get("Caps");
+        let span = |key: &str, otherwise: u64| caps.get(key).whole().filter(|&n| n > 0).unwrap_or(otherwise);
+        let sockets = root.get("limits").get("sockets").whole().filter(|&n| n >= 64).unwrap_or(1024) as usize;
+        let fields = names(json.get("LoadReport").get("Fields"));
+        let gauge = |name: String| GAUGES.iter().find(|g| g.0 == name).map_or(name, |g| g.1.to_string());
+        let seed = root.get("seed").text().unwrap_or_default();
+        Ok(Config {
+            name: root.get("name").text().unwrap_or("driftfront").into(),
+            listen,
+            seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| crate::net::hash(seed.as_bytes())),
+            sockets,
+            wire,
+            membership,
+            known_index: root.get("known").get("index").whole().unwrap_or(0),
+            known: root.get("known").get("updates").list().unwrap_or(&[]).to_vec(),
+            classes: json.get("Profiles").each().map(|p| p.get("Name").text().unwrap_or("").into()).collect(),
+            zones: names(json.get("FailureDomains")),
+            kinds: names(json.get("MachineTypes")),
+            gauges: fields.into_iter().map(gauge).collect(),
+            connect_timeout: span("ConnectTimeoutUs", 250_000),
+            idle: span("ConnIdleUs", 15_000_000),
+            streams: span("StreamsPerConn", 32) as usize,
+            limits: Limits {
+                open: span("MaxOpen", 4096).min(4096) as usize,
+                probe_timeout: PROBE_TIMEOUT,
+                answer_margin: ANSWER_MARGIN,
+            },
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,12 @@
+//! Sockets, wires and membership round [`driftfront_core`]: the coordinator as one program.
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod backs;
+pub mod config;
+pub mod console;
+pub mod fronts;
+pub mod members;
+pub mod net;
+pub mod node;
+pub mod sql;
--- /dev/null
+++ b/node/src/members/stream.rs
@@ -0,0 +1,105 @@
+//! The platform's list: server-sent events over HTTP. Without sockets: bytes in, events out.
+
+use crate::net::http::{ResponsePart, ResponseReader};
+use driftfront_core::Micros;
+
+/// A comment comes each second: nothing for this long means a broken stream.
+pub const SILENCE: Micros = 2_500_000;
+/// Longest event read.
+const EVENT_MOST: usize = 4 * 1024 * 1024;
+
+/// An event off the stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerEvent {
+    /// Its number.
+    pub id: Option<u64>,
+    /// Its data.
+    pub data: String,
+}
+
+/// Reads the lines of a stream of server-sent events.
+#[derive(Default)]
+pub struct EventReader {
+    line: Vec<u8>,
+    id: Option<u64>,
+    data: String,
+    after_cr: bool,
+}
+
+impl EventReader {
+    /// Takes bytes in any pieces; an error if an event is beyond all bounds.
+    pub fn push(&mut self, bytes: &[u8], events: &mut Vec<ServerEvent>) -> Result<(), String> {
+        for &b in bytes {
+            // A line ends in LF, CR or CR LF.
+            let second = std::mem::replace(&mut self.after_cr, b == b'\r') && b == b'\n';
+            if second {
+                continue;
+            }
+            if b == b'\n' || b == b'\r' {
+                let line = std::mem::take(&mut self.line);
+                self.take(&String::from_utf8_lossy(&line), events);
+            } else {
+                self.line.push(b);
+            }
+            if self.line.len() + self.data.len() > EVENT_MOST {
+                return Err("an event of more than 4 MiB".into());
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, line: &str, events: &mut Vec<ServerEvent>) {
+        if line.is_empty() {
+            let data = std::mem::take(&mut self.data);
+            let id = self.id.take();
+            if !data.is_empty() {
+                events.push(ServerEvent { id, data });
+            }
+            return;
+        }
+        let (name, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match name {
+            "id" => self.id = value.parse().ok(),
+            "data" => {
+                if !self.data.is_empty() {
+                    self.data.push('\n');
+                }
+                self.data.push_str(value);
+            }
+            // Comments have no name; other fields are not used here.
+            _ => {}
+        }
+    }
+}
+
+/// One connection to the stream.
+#[derive(Default)]
+pub struct Stream {
+    http: ResponseReader,
+    events: EventReader,
+}
+
+impl Stream {
+    /// The request that opens the stream behind an event.
+    pub fn request(host: &str, last: u64) -> Vec<u8> {
+        format!("GET /v2/stream HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n")
+            .into_bytes()
+    }
+
+    /// Bytes have come; an error ends the connection.
+    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<ServerEvent>) -> Result<(), String> {
+        self.http.push(bytes);
+        while let Some(part) = self.http.next_part().map_err(|e| format!("bad HTTP: {e:?}"))? {
+            match part {
+                ResponsePart::Head(head) if head.status != 200 => {
+                    return Err(format!("status {}", head.status));
+                }
+                ResponsePart::Head(_) => {}
+                ResponsePart::Body(bytes) => self.events.push(&bytes, events)?,
+                ResponsePart::End => return Err("the stream ended".into()),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/node/src/net/link.rs
@@ -0,0 +1,129 @@
+//! A TCP connection with an output buffer; reads and writes may come in any pieces.
+
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Why reading stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadEnd {
+    /// Nothing more for now.
+    Dry,
+    /// As much as was asked for; there may be more.
+    Enough,
+    /// The peer has ended its side.
+    Closed,
+}
+
+/// A connection's bytes.
+pub struct Link {
+    stream: Rc<TcpStream>,
+    out: Vec<u8>,
+    start: usize,
+    /// Bytes ever put into the buffer, and ever taken by the system.
+    queued: u64,
+    written: u64,
+}
+
+impl Link {
+    /// Wraps a non-blocking stream.
+    pub fn new(stream: Rc<TcpStream>) -> Link {
+        Link { stream, out: Vec::new(), start: 0, queued: 0, written: 0 }
+    }
+
+    /// The socket, for the event loop.
+    pub fn socket(&self) -> Rc<TcpStream> {
+        self.stream.clone()
+    }
+
+    /// Whether a connect that was begun has come up; an error if it failed.
+    pub fn came_up(&self) -> io::Result<bool> {
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Reads up to `most` bytes onto `into`.
+    pub fn read(&mut self, into: &mut Vec<u8>, most: usize) -> io::Result<ReadEnd> {
+        let mut chunk = [0u8; 16 * 1024];
+        let mut left = most;
+        while left > 0 {
+            let room = left.min(chunk.len());
+            match (&*self.stream).read(&mut chunk[..room]) {
+                Ok(0) => return Ok(ReadEnd::Closed),
+                Ok(n) => {
+                    into.extend_from_slice(&chunk[..n]);
+                    left -= n;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(ReadEnd::Dry),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(ReadEnd::Enough)
+    }
+
+    /// Puts bytes behind what waits to be written.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.out.extend_from_slice(bytes);
+        self.queued += bytes.len() as u64;
+    }
+
+    /// Writes what the system takes; true if nothing is left.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while self.start < self.out.len() {
+            match (&*self.stream).write(&self.out[self.start..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.start += n;
+                    self.written += n as u64;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.start = 0;
+        self.out.clear();
+        // One large answer must not keep its memory for the connection's life.
+        if self.out.capacity() > 64 * 1024 {
+            self.out = Vec::new();
+        }
+        Ok(true)
+    }
+
+    /// Bytes that wait to be written.
+    pub fn backlog(&self) -> usize {
+        self.out.len() - self.start
+    }
+
+    /// Place in the stream behind the last byte queued.
+    pub fn queued(&self) -> u64 {
+        self.queued
+    }
+
+    /// Place in the stream behind the last byte that the system took.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+}
+
+/// Begins a connect; it comes up, or fails, later.
+pub fn connect(addr: SocketAddr) -> io::Result<Rc<TcpStream>> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&addr.into()) {
+        Ok(()) => {}
+        // 115 is EINPROGRESS, which std has no name for on this tool chain's stable channel.
+        Err(e) if e.raw_os_error() == Some(115) || e.kind() == ErrorKind::WouldBlock => {}
+        Err(e) => return Err(e),
+    }
+    Ok(Rc::new(socket.into()))
+}
--- /dev/null
+++ b/node/src/node/clients.rs
@@ -0,0 +1,307 @@
+//! Clients' connections: reading requests, writing answers, and ends of every kind.
+
+use super::{ConnId, Node, Source};
+use crate::fronts::{AnswerWriter, Intake};
+use crate::net::http::{response, Fault, RequestReader};
+use crate::net::{Link, ReadEnd};
+use calloop::RegistrationToken;
+use driftfront_core::{Micros, RequestId};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::rc::Rc;
+
+/// A connection with no request open may idle for this long.
+const IDLE_MOST: Micros = 20_000_000;
+/// A request must be whole this long after its first byte.
+const READ_MOST: Micros = 10_000_000;
+/// After a close of ours the peer's last bytes are read for this long: unread ones would reset the
+/// connection and take our answer with them.
+const LINGER: Micros = 1_000_000;
+/// An answer that the client doesn't read for this long is given up.
+const WRITE_MOST: Micros = 30_000_000;
+/// Bytes read ahead while a request is open.
+const AHEAD_MOST: usize = 64 * 1024;
+const READ_AT_ONCE: usize = 64 * 1024;
+
+/// A client's connection.
+pub(super) struct Client {
+    link: Link,
+    token: Option<RegistrationToken>,
+    reader: RequestReader,
+    /// The request whose answer is owed, and its writer.
+    current: Option<(RequestId, Box<dyn AnswerWriter>)>,
+    /// The last request asked for a close, or a fault makes one due.
+    close: bool,
+    /// Our side is shut; what still comes is dropped.
+    shut: bool,
+    /// Reading stopped with more to come.
+    more: bool,
+    continued: bool,
+    used: Micros,
+}
+
+impl Client {
+    pub(super) fn is_writing(&self) -> bool {
+        self.link.backlog() > 0
+    }
+
+    fn is_idle(&self) -> bool {
+        self.current.is_none() && !self.is_writing() && !self.reader.is_within()
+    }
+}
+
+/// Listens with room for a burst of connects.
+pub(super) fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
+impl Node {
+    /// Takes connections in while there is room; what has to wait is looked at again with each sweep.
+    pub(super) fn accept(&mut self, now: Micros) {
+        let most = self.config.sockets * 45 / 100;
+        loop {
+            if self.clients.len() >= most && !self.drop_oldest_idle(now) {
+                return;
+            }
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                // 23 and 24 are ENFILE and EMFILE: the connection stays in the backlog until there is room.
+                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                    tracing::warn!("out of descriptors");
+                    if self.drop_oldest_idle(now) {
+                        continue;
+                    }
+                    return;
+                }
+                Err(e) => {
+                    tracing::debug!("accept: {e}");
+                    continue;
+                }
+            };
+            if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
+                continue;
+            }
+            let id = self.conn_id();
+            let stream = Rc::new(stream);
+            match self.register(stream.clone(), Source::Client(id)) {
+                Ok(token) => {
+                    let client = Client {
+                        link: Link::new(stream),
+                        token: Some(token),
+                        reader: RequestReader::new(self.front.body_most()),
+                        current: None,
+                        close: false,
+                        shut: false,
+                        more: true,
+                        continued: false,
+                        used: now,
+                    };
+                    self.clients.insert(id, client);
+                    // What came before the socket was registered brings no event of its own.
+                    self.client_ready(now, id);
+                }
+                Err(e) => tracing::warn!("a client's socket: {e}"),
+            }
+        }
+    }
+
+    fn drop_oldest_idle(&mut self, now: Micros) -> bool {
+        let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
+        let oldest = idle.min_by_key(|(_, c)| c.used).map(|(&id, _)| id);
+        if let Some(id) = oldest {
+            self.drop_client(now, id);
+        }
+        oldest.is_some()
+    }
+
+    pub(super) fn drop_client(&mut self, now: Micros, id: ConnId) {
+        let Some(mut client) = self.clients.remove(&id) else { return };
+        self.unwatch(client.token.take());
+        if let Some((request, _)) = client.current.take() {
+            self.asking.remove(&request);
+            self.core.left(now, request);
+        }
+    }
+
+    pub(super) fn client_ready(&mut self, now: Micros, id: ConnId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.more = true;
+        }
+        self.client_work(now, id);
+    }
+
+    /// Writes and reads as far as both go.
+    fn client_work(&mut self, now: Micros, id: ConnId) {
+        loop {
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            let flushed = match client.link.flush() {
+                Ok(flushed) => flushed,
+                Err(_) => return self.drop_client(now, id),
+            };
+            if flushed && client.close && client.current.is_none() && !client.shut {
+                client.shut = true;
+                client.used = now;
+                let _ = client.link.socket().shutdown(Shutdown::Write);
+            }
+            let within = client.reader.held() <= AHEAD_MOST || client.current.is_none();
+            if !client.more || !within || !flushed && client.current.is_none() {
+                return;
+            }
+            let mut bytes = Vec::new();
+            let end = match client.link.read(&mut bytes, READ_AT_ONCE) {
+                Ok(end) => end,
+                Err(_) => return self.drop_client(now, id),
+            };
+            client.more = end == ReadEnd::Enough;
+            if !client.shut && !bytes.is_empty() {
+                if client.reader.held() == 0 {
+                    client.used = now;
+                }
+                client.reader.push(&bytes);
+                self.next_request(now, id);
+            }
+            if end == ReadEnd::Closed {
+                return self.client_ended(now, id);
+            }
+        }
+    }
+
+    /// The client has ended its side: what it asked is not wanted any more.
+    fn client_ended(&mut self, now: Micros, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.current.is_none() && !client.shut && client.reader.is_within() {
+            // It may still read why its half request is not answered.
+            client.link.push(&response(400, &[], b"", true));
+            let _ = client.link.flush();
+        }
+        self.drop_client(now, id);
+    }
+
+    /// Takes requests off the reader as long as none is open.
+    fn next_request(&mut self, now: Micros, id: ConnId) {
+        loop {
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            if client.current.is_some() || client.close {
+                return;
+            }
+            let request = match client.reader.next_request() {
+                Ok(Some(request)) => request,
+                Ok(None) => {
+                    if client.reader.expects_continue() && !client.continued {
+                        client.continued = true;
+                        client.link.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        let _ = client.link.flush();
+                    }
+                    return;
+                }
+                Err(fault) => return self.client_fault(now, id, fault),
+            };
+            client.continued = false;
+            client.close = request.close;
+            client.used = now;
+            match self.front.intake(request, now) {
+                Intake::Reply(bytes) => self.reply(id, &bytes),
+                Intake::Ready => {
+                    let ready = self.core.has_engines() && self.stop_at.is_none();
+                    self.reply(id, &response(if ready { 200 } else { 503 }, &[], b"", false));
+                }
+                Intake::Counters => {
+                    let text = self.counters();
+                    let head = [("Content-Type", "text/plain; charset=utf-8")];
+                    self.reply(id, &response(200, &head, text.as_bytes(), false));
+                }
+                Intake::Take(ask, writer) => {
+                    let request = self.core.take(now, ask);
+                    self.asking.insert(request, id);
+                    if let Some(client) = self.clients.get_mut(&id) {
+                        client.current = Some((request, writer));
+                    }
+                    self.carry_out();
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, id: ConnId, bytes: &[u8]) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.link.push(bytes);
+            let _ = client.link.flush();
+        }
+    }
+
+    /// What can't be read is answered with its status, then the connection closes.
+    fn client_fault(&mut self, now: Micros, id: ConnId, fault: Fault) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.close = true;
+            client.used = now;
+            client.link.push(&response(fault.status(), &[], b"", true));
+        }
+    }
+
+    /// Writes part of a request's answer; with `last` the request is over. The closure says whether the
+    /// connection may stay open.
+    pub(super) fn answer(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        last: bool,
+        write: impl FnOnce(&mut dyn AnswerWriter, &mut Vec<u8>) -> bool,
+    ) {
+        let Some(&id) = self.asking.get(&request) else { return };
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some((_, writer)) = &mut client.current else { return };
+        let mut bytes = Vec::new();
+        let open = write(writer.as_mut(), &mut bytes);
+        client.link.push(&bytes);
+        client.used = now;
+        if last {
+            client.current = None;
+            self.asking.remove(&request);
+            client.close |= !open;
+            if !open {
+                // A body that is cut must not look whole, so nothing more may follow it.
+                client.more = false;
+            }
+            self.next_request(now, id);
+        }
+        self.client_work(now, id);
+    }
+
+    pub(super) fn sweep_clients(&mut self, now: Micros) {
+        let late = |c: &Client| {
+            let age = now.saturating_sub(c.used);
+            if c.shut {
+                return age > LINGER;
+            }
+            if c.is_writing() {
+                return age > WRITE_MOST;
+            }
+            c.current.is_none() && (age > IDLE_MOST || c.reader.is_within() && age > READ_MOST)
+        };
+        let ends: Vec<ConnId> = self.clients.iter().filter(|(_, c)| late(c)).map(|(&id, _)| id).collect();
+        for id in ends {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            if !client.shut && client.reader.is_within() && client.current.is_none() {
+                client.link.push(&response(408, &[], b"", true));
+                let _ = client.link.flush();
+            }
+            self.drop_client(now, id);
+        }
+    }
+
+    fn counters(&self) -> String {
+        let connections = format!(
+            "connections_clients {}\nconnections_engines {}\n",
+            self.clients.len(),
+            self.engines.len()
+        );
+        format!("{}{connections}requests_open {}\n", self.core.counters(), self.core.open())
+    }
+}
--- /dev/null
+++ b/node/src/node/engines.rs
@@ -0,0 +1,320 @@
+//! Engines' connections: the pool, connects, and attempts on their way.
+
+use super::{ConnId, Node, Source};
+use crate::backs::{Seen, Session, Start};
+use crate::net::{connect, Link, ReadEnd};
+use calloop::RegistrationToken;
+use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome, Progress};
+use std::collections::VecDeque;
+
+/// Most connections to one engine, and part of all descriptors that engines' connections may hold.
+const PER_ENGINE: usize = 16;
+const PART_OF_SOCKETS: usize = 3;
+/// Attempts that wait for one connection.
+const WAITING_MOST: usize = 256;
+/// Part of the engines' idle limit after which a connection is not used again: a request that crosses the
+/// engine's close would be lost without proof that it never ran.
+const IDLE_PART: f64 = 0.6;
+/// With work out, notes come each second; after this long without a byte a connection counts as silent, and
+/// new work goes by another one, whose connect shows at once whether the engine can be reached.
+const SILENT: Micros = 1_600_000;
+const READ_AT_ONCE: usize = 64 * 1024;
+
+/// What waits to be written.
+enum Work {
+    Attempt(AttemptKey),
+    Probe(u64),
+}
+
+/// An engine's connection.
+pub(super) struct EngineConn {
+    engine: EngineId,
+    link: Link,
+    token: Option<RegistrationToken>,
+    session: Box<dyn Session>,
+    up: bool,
+    connect_by: Micros,
+    waiting: VecDeque<Work>,
+    /// Where in the stream each attempt begins and ends, until it is written whole.
+    marks: VecDeque<(u64, u64, AttemptKey)>,
+    heard: Micros,
+    used: Micros,
+    /// Takes no new work: silent, or of an earlier process.
+    retired: bool,
+}
+
+impl EngineConn {
+    fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.session.is_idle() && self.link.backlog() == 0
+    }
+
+    fn load(&self) -> usize {
+        self.waiting.len() + self.session.open().len()
+    }
+
+    fn is_silent(&self, now: Micros) -> bool {
+        self.up && !self.session.is_idle() && now > self.heard.max(self.used) + SILENT
+    }
+
+    fn is_stale(&self, now: Micros, idle: Micros) -> bool {
+        self.up && self.is_idle() && now as f64 > self.used as f64 + idle as f64 * IDLE_PART
+    }
+}
+
+impl Node {
+    /// A connection with room, the least loaded one; else a new one.
+    fn engine_conn(&mut self, now: Micros, engine: EngineId, call: Option<&str>) -> Result<ConnId, String> {
+        let idle = self.config.idle;
+        let fits = |c: &EngineConn| {
+            c.engine == engine
+                && !c.retired
+                && !c.session.is_spent()
+                && !c.is_silent(now)
+                && !c.is_stale(now, idle)
+                && c.load() < c.session.most()
+                && call.is_none_or(|call| c.session.takes(call))
+        };
+        let best = self.engines.iter().filter(|(_, c)| fits(c));
+        if let Some((&id, _)) = best.min_by_key(|(_, c)| (!c.up, c.load())) {
+            return Ok(id);
+        }
+        if self.engines.values().filter(|c| c.engine == engine && !c.retired).count() >= PER_ENGINE
+            || self.engines.len() >= self.config.sockets / PART_OF_SOCKETS
+        {
+            // Rather than wait without bound for a place, the attempt goes elsewhere.
+            return Err("no connection free".into());
+        }
+        let addr = self.addr(engine).ok_or("no address known")?;
+        let stream = connect(addr).map_err(|e| e.to_string())?;
+        let id = self.conn_id();
+        let token = self.register(stream.clone(), Source::Engine(id))?;
+        let conn = EngineConn {
+            engine,
+            link: Link::new(stream),
+            token: Some(token),
+            session: self.session(),
+            up: false,
+            connect_by: now + self.config.connect_timeout,
+            waiting: VecDeque::new(),
+            marks: VecDeque::new(),
+            heard: now,
+            used: now,
+            retired: false,
+        };
+        self.engines.insert(id, conn);
+        Ok(id)
+    }
+
+    pub(super) fn send(&mut self, now: Micros, key: AttemptKey, engine: EngineId) {
+        let Some(call) = self.core.taken(key.request).map(|t| t.ask.call.clone()) else { return };
+        match self.engine_conn(now, engine, Some(&call)) {
+            Ok(id) => self.queue_work(now, id, Work::Attempt(key)),
+            Err(why) => self.attempt_failed(now, key, Cause::Connection(why)),
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Micros, engine: EngineId, tag: u64) {
+        match self.engine_conn(now, engine, None) {
+            Ok(id) => self.queue_work(now, id, Work::Probe(tag)),
+            Err(_) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
+        }
+    }
+
+    fn queue_work(&mut self, now: Micros, id: ConnId, work: Work) {
+        let Some(conn) = self.engines.get_mut(&id) else { return };
+        if conn.waiting.len() < WAITING_MOST {
+            conn.waiting.push_back(work);
+            return self.engine_write(now, id);
+        }
+        match work {
+            Work::Attempt(key) => self.attempt_failed(now, key, Cause::Connection("line too long".into())),
+            Work::Probe(tag) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
+        }
+    }
+
+    fn attempt_failed(&mut self, now: Micros, key: AttemptKey, cause: Cause) {
+        if let Some(error) = self.core.attempt_failed(now, key, cause) {
+            tracing::debug!(request = key.request.0, attempt = key.number, "{error}");
+        }
+    }
+
+    /// Stops waiting for an attempt, wherever it is.
+    pub(super) fn abandon(&mut self, now: Micros, key: AttemptKey, engine: EngineId) {
+        let ids: Vec<ConnId> =
+            self.engines.iter().filter(|(_, c)| c.engine == engine).map(|(&id, _)| id).collect();
+        for id in ids {
+            let Some(conn) = self.engines.get_mut(&id) else { continue };
+            conn.waiting.retain(|w| !matches!(w, Work::Attempt(k) if *k == key));
+            if !conn.session.open().contains(&key) {
+                continue;
+            }
+            let mut out = Vec::new();
+            let stopped = conn.session.stop(key, &mut out);
+            conn.link.push(&out);
+            if stopped {
+                self.engine_write(now, id);
+            } else {
+                self.drop_engine(now, id, "an attempt was given up");
+            }
+        }
+    }
+
+    /// Writes what may go now. An attempt is put into the buffer only when that is empty, and looked at
+    /// again right then: its engine may have begun to drain while it waited.
+    fn engine_write(&mut self, now: Micros, id: ConnId) {
+        loop {
+            let Some(conn) = self.engines.get_mut(&id) else { return };
+            if !conn.up {
+                return;
+            }
+            let flushed = conn.link.flush();
+            let written = conn.link.written();
+            while let Some(&(begin, end, key)) = conn.marks.front() {
+                if written >= end {
+                    self.core.reached(key, Progress::WrittenWhole);
+                    conn.marks.pop_front();
+                } else {
+                    if written > begin {
+                        self.core.reached(key, Progress::PartWritten);
+                    }
+                    break;
+                }
+            }
+            match flushed {
+                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+                Ok(false) => return,
+                Ok(true) => {}
+            }
+            let Some(conn) = self.engines.get_mut(&id) else { return };
+            let Some(work) = conn.waiting.pop_front() else { return };
+            let mut out = Vec::new();
+            match work {
+                Work::Probe(tag) => conn.session.probe(tag, &mut out),
+                Work::Attempt(key) => {
+                    self.core.reached(key, Progress::Connected);
+                    let Some(patience) = self.core.may_write(now, key) else { continue };
+                    let Some(taken) = self.core.taken(key.request) else { continue };
+                    let class = self.config.classes.get(usize::from(taken.ask.class));
+                    let start = Start {
+                        key,
+                        call: &taken.ask.call,
+                        class: class.map_or("", String::as_str),
+                        patience,
+                        statement: &taken.ask.statement,
+                    };
+                    conn.session.start(&start, &mut out);
+                    let begin = conn.link.queued();
+                    conn.marks.push_back((begin, begin + out.len() as u64, key));
+                }
+            }
+            conn.link.push(&out);
+            if conn.session.is_idle() {
+                conn.heard = now;
+            }
+            conn.used = now;
+        }
+    }
+
+    pub(super) fn engine_ready(&mut self, now: Micros, id: ConnId) {
+        let Some(conn) = self.engines.get_mut(&id) else { return };
+        if !conn.up {
+            match conn.link.came_up() {
+                Ok(true) => (conn.up, conn.heard, conn.used) = (true, now, now),
+                Ok(false) => return,
+                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+            }
+        }
+        self.engine_write(now, id);
+        self.engine_read(now, id);
+    }
+
+    fn engine_read(&mut self, now: Micros, id: ConnId) {
+        loop {
+            let Some(conn) = self.engines.get_mut(&id) else { return };
+            let mut bytes = Vec::new();
+            let end = match conn.link.read(&mut bytes, READ_AT_ONCE) {
+                Ok(end) => end,
+                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+            };
+            let (mut out, mut seen) = (Vec::new(), Vec::new());
+            let mut fed = Ok(());
+            if !bytes.is_empty() {
+                (conn.heard, conn.used) = (now, now);
+                fed = conn.session.feed(&bytes, &mut out, &mut seen);
+                conn.link.push(&out);
+            }
+            if end == ReadEnd::Closed {
+                conn.session.ended(&mut seen);
+            }
+            self.take_seen(now, seen);
+            match (fed, end) {
+                (Err(e), _) => return self.drop_engine(now, id, &e),
+                (_, ReadEnd::Closed) => return self.drop_engine(now, id, "closed by the engine"),
+                (_, ReadEnd::Dry) => return self.engine_write(now, id),
+                (_, ReadEnd::Enough) => {}
+            }
+        }
+    }
+
+    fn take_seen(&mut self, now: Micros, seen: Vec<Seen>) {
+        for each in seen {
+            match each {
+                Seen::Noted(key, note) => self.core.noted(now, key, note),
+                Seen::Begun(key) => self.core.reached(key, Progress::AnswerBegun),
+                Seen::Piece(key, piece) => self.core.relay(key, piece),
+                Seen::Served(key, report) => self.core.served(now, key, &report),
+                Seen::Failed(key, cause) => self.attempt_failed(now, key, cause),
+                Seen::Probed(tag, outcome, report) => self.core.probed(now, tag, outcome, &report),
+            }
+        }
+        self.carry_out();
+    }
+
+    /// A connection ends; each attempt on it ends as far as it had come.
+    pub(super) fn drop_engine(&mut self, now: Micros, id: ConnId, why: &str) {
+        let Some(mut conn) = self.engines.remove(&id) else { return };
+        self.unwatch(conn.token.take());
+        if !conn.is_idle() {
+            tracing::debug!(engine = conn.engine.0, "connection lost: {why}");
+        }
+        for key in conn.session.open() {
+            self.attempt_failed(now, key, Cause::Connection(why.into()));
+        }
+        for work in conn.waiting {
+            match work {
+                Work::Attempt(key) => self.attempt_failed(now, key, Cause::Connection(why.into())),
+                Work::Probe(tag) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
+            }
+        }
+        self.carry_out();
+    }
+
+    /// Old connections of an engine lead to an earlier process, or elsewhere.
+    pub(super) fn retire(&mut self, engine: EngineId) {
+        for conn in self.engines.values_mut().filter(|c| c.engine == engine) {
+            conn.retired = true;
+        }
+    }
+
+    /// The engine is gone from the list: what is out on it may still end.
+    pub(super) fn forget(&mut self, now: Micros, engine: EngineId) {
+        self.retire(engine);
+        self.table.forget(engine);
+        self.sweep_engines(now);
+    }
+
+    pub(super) fn sweep_engines(&mut self, now: Micros) {
+        let idle = self.config.idle;
+        let over = |c: &EngineConn| {
+            if !c.up {
+                return (now > c.connect_by).then_some("connect timed out");
+            }
+            let unused = c.is_idle() && (c.retired || c.session.is_spent() || c.is_stale(now, idle));
+            unused.then_some("no longer used")
+        };
+        let ends: Vec<_> = self.engines.iter().filter_map(|(&id, c)| Some((id, over(c)?))).collect();
+        for (id, why) in ends {
+            self.drop_engine(now, id, why);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/node/mod.rs
@@ -0,0 +1,281 @@
+//! The program itself: one thread, one calloop event loop, and the core's commands carried out on sockets.
+
+mod clients;
+mod engines;
+mod feed;
+
+use crate::backs::{lines::Lines, Session};
+use crate::config::{Config, Membership, Wire};
+use crate::fronts::{platform::Platform, Classes, Front};
+use crate::members::{Change, Table};
+use crate::net::unix_now;
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use driftfront_core::{Command, Core, EngineId, ListKind, Micros, RequestId};
+use driftfront_settings::json::Json;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Connections are looked over this often: connect time-outs, idle ends, accepts that were put off.
+const SWEEP: Micros = 25_000;
+/// After SIGTERM new requests may come for this long: 0.4 s of connections, 0.2 s more on them, and spare.
+const LINGER: Micros = 800_000;
+
+/// A connection's number inside this program; never used twice.
+type ConnId = u64;
+
+/// The coordinator on its sockets.
+pub struct Node {
+    core: Core,
+    config: Config,
+    handle: LoopHandle<'static, Node>,
+    now: Micros,
+    last_conn: ConnId,
+    front: Box<dyn Front>,
+    listener: Rc<TcpListener>,
+    clients: BTreeMap<ConnId, clients::Client>,
+    /// The connection on which each open request waits for its answer.
+    asking: BTreeMap<RequestId, ConnId>,
+    engines: BTreeMap<ConnId, engines::EngineConn>,
+    table: Table,
+    feed: feed::Feed,
+    next_sweep: Micros,
+    stop_at: Option<Micros>,
+}
+
+/// What a readiness event is for.
+#[derive(Clone, Copy)]
+enum Source {
+    Listener,
+    Client(ConnId),
+    Engine(ConnId),
+    Feed(ConnId),
+}
+
+impl Node {
+    /// Binds, takes the first list over and registers the sources of events.
+    pub fn new(config: Config, events: &EventLoop<'static, Node>) -> Result<Node, String> {
+        let listener =
+            clients::listen(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let classes = Classes { names: config.classes.clone() };
+        let front: Box<dyn Front> = match config.wire {
+            Wire::Platform => Box::new(Platform { classes }),
+            Wire::ClickHouse => return Err("front clickhouse is not built in".into()),
+        };
+        let coordinator = match config.membership {
+            Membership::Stream(addr) => Some(addr),
+            Membership::Fixed => None,
+        };
+        let now = unix_now();
+        let mut node = Node {
+            core: Core::new(config.settings.clone(), config.limits, config.seed),
+            handle: events.handle(),
+            now,
+            last_conn: 0,
+            front,
+            listener: Rc::new(listener),
+            clients: BTreeMap::new(),
+            asking: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            table: Table::new(config.zones.clone(), config.kinds.clone()),
+            feed: feed::Feed::new(coordinator, config.known_index),
+            next_sweep: now,
+            stop_at: None,
+            config,
+        };
+        node.take_known();
+        let socket = node.listener.clone();
+        node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
+        let signals =
+            Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+        let on_signal = |event: calloop::signals::Event, _: &mut (), node: &mut Node| {
+            tracing::info!(signal = ?event.signal(), "stopping once all taken is answered");
+            let now = node.clock();
+            node.stop_at.get_or_insert(now + LINGER);
+        };
+        events.handle().insert_source(signals, on_signal).map_err(|e| format!("signals: {e}"))?;
+        Ok(node)
+    }
+
+    /// Runs until a signal has asked for the end and all that was taken is answered.
+    pub fn run(mut self, mut events: EventLoop<'static, Node>) -> Result<(), String> {
+        tracing::info!(name = %self.config.name, listen = %self.config.listen, "serving");
+        loop {
+            self.guard("timers", Node::on_time);
+            if self.may_end() {
+                break;
+            }
+            let due = self.core.next_due().unwrap_or(u64::MAX).min(self.next_sweep);
+            let wait = Duration::from_micros(due.saturating_sub(self.clock()).min(1_000_000));
+            match events.dispatch(wait, &mut self) {
+                Ok(()) => {}
+                Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(e) => tracing::error!("event loop: {e}"),
+            }
+        }
+        tracing::info!("all taken is answered\n{}", self.core.counters());
+        Ok(())
+    }
+
+    fn clock(&mut self) -> Micros {
+        // The system's clock may be set back; time here never runs backwards.
+        self.now = self.now.max(unix_now());
+        self.now
+    }
+
+    fn conn_id(&mut self) -> ConnId {
+        self.last_conn += 1;
+        self.last_conn
+    }
+
+    /// Lets no panic end the program: it ends what was at hand.
+    fn guard(&mut self, what: &str, work: impl FnOnce(&mut Node)) -> bool {
+        let done = catch_unwind(AssertUnwindSafe(|| work(self))).is_ok();
+        if !done {
+            tracing::error!("panic in {what}");
+        }
+        done
+    }
+
+    fn watch<S: std::os::fd::AsFd + 'static>(
+        &mut self,
+        socket: Rc<S>,
+        source: Source,
+    ) -> Result<RegistrationToken, calloop::Error> {
+        let generic = Generic::new(socket, Interest::BOTH, Mode::Edge);
+        let token = self.handle.insert_source(generic, move |readiness, _, node: &mut Node| {
+            if !node.guard("a connection", |node| node.on_ready(source, readiness)) {
+                node.guard("a close", |node| node.drop_source(source));
+            }
+            Ok(PostAction::Continue)
+        });
+        token.map_err(|e| e.error)
+    }
+
+    fn on_ready(&mut self, source: Source, _readiness: Readiness) {
+        let now = self.clock();
+        match source {
+            Source::Listener => self.accept(now),
+            Source::Client(id) => self.client_ready(now, id),
+            Source::Engine(id) => self.engine_ready(now, id),
+            Source::Feed(id) => self.feed_ready(now, id),
+        }
+        self.carry_out();
+    }
+
+    /// A panic has ended this source's work: its connection goes, with what was on it.
+    fn drop_source(&mut self, source: Source) {
+        let now = self.clock();
+        match source {
+            Source::Listener => {}
+            Source::Client(id) => self.drop_client(now, id),
+            Source::Engine(id) => self.drop_engine(now, id, "a panic"),
+            Source::Feed(_) => self.drop_feed(now, "a panic"),
+        }
+        self.carry_out();
+    }
+
+    fn on_time(&mut self) {
+        let now = self.clock();
+        self.core.tick(now);
+        self.carry_out();
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            self.accept(now);
+            self.sweep_clients(now);
+            self.sweep_engines(now);
+            self.sweep_feed(now);
+            self.carry_out();
+        }
+    }
+
+    fn may_end(&self) -> bool {
+        let time = self.stop_at.is_some_and(|at| self.now >= at);
+        time && self.core.open() == 0 && self.clients.values().all(|c| !c.is_writing())
+    }
+
+    /// Carries out what the core asks for, until it asks for nothing more.
+    fn carry_out(&mut self) {
+        while let Some(command) = self.core.command() {
+            let now = self.now;
+            match command {
+                Command::Send(key, engine) => self.send(now, key, engine),
+                Command::Abandon(key, engine) => self.abandon(now, key, engine),
+                Command::Probe(engine, tag) => self.probe(now, engine, tag),
+                Command::Forget(engine) => self.forget(now, engine),
+                Command::Log(line) => tracing::info!("{line}"),
+                Command::Relay(id, piece) => self.answer(now, id, false, |w, out| {
+                    w.piece(&piece, out);
+                    true
+                }),
+                Command::Finish(id) => self.answer(now, id, true, |w, out| {
+                    w.finish(out);
+                    true
+                }),
+                Command::Refuse(id, after) => self.answer(now, id, true, |w, out| {
+                    w.refuse(after, out);
+                    true
+                }),
+                Command::Fail(id, words) => self.answer(now, id, true, |w, out| {
+                    w.fail(words.as_deref(), out);
+                    true
+                }),
+                Command::Break(id, words) => {
+                    self.answer(now, id, true, |w, out| w.cut(words.as_deref(), out));
+                }
+            }
+        }
+    }
+
+    /// Takes over what the configuration lists.
+    fn take_known(&mut self) {
+        let mut lines = BTreeMap::new();
+        for update in std::mem::take(&mut self.config.known) {
+            match self.table.apply(Json(Some(&update))) {
+                Ok(change) => {
+                    if change.kind == ListKind::Whole {
+                        lines.clear();
+                    }
+                    lines.extend(change.lines.into_iter().map(|l| (l.engine, l)));
+                }
+                Err(e) => tracing::warn!("known engines: {e}"),
+            }
+        }
+        let lines: Vec<_> = lines.into_values().collect();
+        let now = self.clock();
+        self.core.engines(now, ListKind::Cached, &lines);
+        self.carry_out();
+    }
+
+    fn take_change(&mut self, now: Micros, change: &Change) {
+        for &engine in &change.restarted {
+            self.retire(engine);
+        }
+        self.core.engines(now, change.kind, &change.lines);
+        self.carry_out();
+    }
+
+    fn session(&self) -> Box<dyn Session> {
+        Box::new(Lines::new(self.config.streams, self.config.gauges.clone()))
+    }
+
+    fn addr(&self, engine: EngineId) -> Option<SocketAddr> {
+        self.table.addr(engine)
+    }
+
+    /// Makes an orderly end unregister the socket too; its descriptor closes with the last holder.
+    fn unwatch(&mut self, token: Option<RegistrationToken>) {
+        if let Some(token) = token {
+            self.handle.remove(token);
+        }
+    }
+
+    /// Registers a socket, or says why not.
+    fn register(&mut self, socket: Rc<TcpStream>, source: Source) -> Result<RegistrationToken, String> {
+        self.watch(socket, source).map_err(|e| e.to_string())
+    }
+}
--- a/simhost/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,45 +1,54 @@
-//! Start settings: from the wire's JSON to the library's vocabulary. Unknown keys are ignored.
+//! Start settings: from JSON to the library's vocabulary. Unknown keys are ignored.
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod json;
 
 use fernlink::interface::{
     Class, ColdStart, Effect, Kind, OutOfMemory, RepeatGroup, ReportField, RetryBudget, Settings, Tenant,
 };
-use serde_json::Value;
+use json::Json;
 
 /// Parses the settings; an error names the key that is missing or malformed.
 pub fn parse_settings(json: &[u8]) -> Result<Settings, String> {
-    let root: Value = serde_json::from_slice(json).map_err(|e| format!("Config is not JSON: {e}"))?;
+    let root = json::parse(json).map_err(|e| format!("Config is not JSON: {e}"))?;
+    from_json(Json(Some(&root)))
+}
+
+/// Reads the settings from a parsed object.
+pub fn from_json(root: Json) -> Result<Settings, String> {
     if !root.is_object() {
         return Err("Config is not a JSON object".into());
     }
-    let caps = &root["Caps"];
-    let contract = &root["Contract"];
-    let family = &root["FamilyInfo"];
-    let report = &root["LoadReport"];
-    let profiles = root["Profiles"].as_array().ok_or("Profiles is missing or not a list")?;
-    if profiles.is_empty() {
+    let caps = root.get("Caps");
+    let contract = root.get("Contract");
+    let family = root.get("FamilyInfo");
+    let report = root.get("LoadReport");
+    let profiles = root.get("Profiles");
+    if profiles.list().ok_or("Profiles is missing or not a list")?.is_empty() {
         return Err("Profiles is empty".into());
     }
     let classes = profiles
-        .iter()
+        .each()
         .enumerate()
         .map(|(i, p)| class(i, p, family).map_err(|e| format!("Profiles[{i}].{e}")))
         .collect::<Result<_, _>>()?;
-    let sizes = family["SizeCores"].as_array().map_or(0, Vec::len);
-    let kinds = root["MachineTypes"].as_array().map_or(0, Vec::len).max(sizes);
+    let sizes = family.get("SizeCores").each().count();
+    let kinds = root.get("MachineTypes").each().count().max(sizes);
     let kinds = (0..kinds)
         .map(|i| Kind {
-            cores: family["SizeCores"][i].as_f64().filter(|&c| c > 0.0),
-            memory_mb: family["RamOfKindMb"][i].as_f64().filter(|&m| m > 0.0),
+            cores: family.get("SizeCores").at(i).number().filter(|&c| c > 0.0),
+            memory_mb: family.get("RamOfKindMb").at(i).number().filter(|&m| m > 0.0),
         })
         .collect();
     let mut tenants = Vec::new();
-    for (i, t) in root["Tenants"].as_array().into_iter().flatten().enumerate() {
+    for (i, t) in root.get("Tenants").each().enumerate() {
         let key = format!("Tenants[{i}].");
         let quota_per_s = number(t, "QuotaPerS").map_err(|e| key + &e)?;
         tenants.push(Tenant { quota_per_s });
     }
     let in_contract = |key: &str| number(contract, key).map_err(|e| format!("Contract.{e}"));
-    let cold = if contract["FallMultiple"].is_null() {
+    let cold = if contract.get("FallMultiple").is_null() {
         None
     } else {
         Some(ColdStart {
@@ -49,7 +58,7 @@
             window: in_contract("OverloadForUs")? as u64,
         })
     };
-    let retry_budget = if contract["ExtraWindowUs"].is_null() {
+    let retry_budget = if contract.get("ExtraWindowUs").is_null() {
         None
     } else {
         Some(RetryBudget {
@@ -58,25 +67,24 @@
             window: in_contract("ExtraWindowUs")? as u64,
         })
     };
-    let how = report["How"].as_str().unwrap_or("off");
-    let fields: &[Value] = report["Fields"].as_array().map_or(&[], Vec::as_slice);
-    let report_fields = fields.iter().map(|f| field(f, family)).collect();
-    let zone = number(&root, "Zone")? as u16;
+    let how = report.get("How").text().unwrap_or("off");
+    let report_fields = report.get("Fields").each().map(|f| field(f, family)).collect();
+    let zone = number(root, "Zone")? as u16;
     Ok(Settings {
-        gateways: number(&root, "Balancers")?.max(1.0) as u32,
-        number: optional(&root, "MyNumber")?.unwrap_or(0.0) as u32,
+        gateways: number(root, "Balancers")?.max(1.0) as u32,
+        number: optional(root, "MyNumber")?.unwrap_or(0.0) as u32,
         zone,
         classes,
         kinds,
         tenants,
-        over_quota_worth: optional(&root, "OverShareWorth")?.unwrap_or(1.0),
-        worth_by_work: root["CountedBy"].as_str() == Some("work"),
-        ask_discovery: root["MembershipMode"].as_str() == Some("ask"),
+        over_quota_worth: optional(root, "OverShareWorth")?.unwrap_or(1.0),
+        worth_by_work: root.get("CountedBy").text() == Some("work"),
+        ask_discovery: root.get("MembershipMode").text() == Some("ask"),
         ask_within: optional(contract, "AskWithinUs")?.map(|t| t as u64),
         grants: flag(family, "GrantsCount"),
         priorities: flag(family, "Priorities"),
         largest_grant: optional(family, "LargestShare")?.filter(|&s| s > 0.0),
-        out_of_memory: match family["OutOfMemory"].as_str() {
+        out_of_memory: match family.get("OutOfMemory").text() {
             Some("line_up") | None => OutOfMemory::Wait,
             Some("cut") => OutOfMemory::Shrink,
             Some("overcommit") => OutOfMemory::Page,
@@ -93,48 +101,48 @@
         retry_after: optional(caps, "MaxRetryAfterUs")?
             .filter(|_| flag(caps, "RetryAfter"))
             .map(|t| t as u64),
-        crossing_costs: optional(&root["Fees"], "CrossZone")?.unwrap_or(0.0) > 0.0,
-        probe_price: optional(&root["Fees"], "Probe")?.unwrap_or(0.0),
-        tick: optional(&root, "TickUs")?.unwrap_or(0.0) as u64,
+        crossing_costs: optional(root.get("Fees"), "CrossZone")?.unwrap_or(0.0) > 0.0,
+        probe_price: optional(root.get("Fees"), "Probe")?.unwrap_or(0.0),
+        tick: optional(root, "TickUs")?.unwrap_or(0.0) as u64,
         retry_budget,
         cold,
         settle: optional(contract, "SettleAfterDoubtUs")?.unwrap_or(0.0) as u64,
     })
 }
 
-fn number(v: &Value, key: &str) -> Result<f64, String> {
-    let n = v[key].as_f64().ok_or_else(|| format!("{key} is missing or not a number"))?;
+fn number(v: Json, key: &str) -> Result<f64, String> {
+    let n = v.get(key).number().ok_or_else(|| format!("{key} is missing or not a number"))?;
     (n >= 0.0).then_some(n).ok_or_else(|| format!("{key} is negative"))
 }
 
-fn optional(v: &Value, key: &str) -> Result<Option<f64>, String> {
-    if v[key].is_null() {
+fn optional(v: Json, key: &str) -> Result<Option<f64>, String> {
+    if v.get(key).is_null() {
         return Ok(None);
     }
     number(v, key).map(Some)
 }
 
-fn flag(v: &Value, key: &str) -> bool {
-    v[key].as_bool().unwrap_or(false)
+fn flag(v: Json, key: &str) -> bool {
+    v.get(key).flag()
 }
 
-fn places(v: &Value, key: &str) -> Result<Option<Vec<u16>>, String> {
-    if v[key].is_null() {
+fn places(v: Json, key: &str) -> Result<Option<Vec<u16>>, String> {
+    if v.get(key).is_null() {
         return Ok(None);
     }
-    let list = v[key].as_array().ok_or_else(|| format!("{key} is not a list"))?;
-    let each = list.iter().map(|x| x.as_u64().and_then(|n| u16::try_from(n).ok()));
+    v.get(key).list().ok_or_else(|| format!("{key} is not a list"))?;
+    let each = v.get(key).each().map(|x| x.whole().and_then(|n| u16::try_from(n).ok()));
     each.collect::<Option<Vec<_>>>().map(Some).ok_or_else(|| format!("{key} holds no numbers"))
 }
 
-fn class(i: usize, p: &Value, family: &Value) -> Result<Class, String> {
-    let effect = match p["Effect"].as_str() {
+fn class(i: usize, p: Json, family: Json) -> Result<Class, String> {
+    let effect = match p.get("Effect").text() {
         Some("free") => Effect::Safe,
         Some("guarded") => Effect::Keyed,
         Some("single_shot") => Effect::Unsafe,
         _ => return Err("Effect is missing or unknown".into()),
     };
-    let repeat_group = match p["KeyScope"].as_str() {
+    let repeat_group = match p.get("KeyScope").text() {
         Some("all") => RepeatGroup::All,
         Some("zone") => RepeatGroup::Zone,
         Some("cell") => RepeatGroup::Cell,
@@ -152,15 +160,15 @@
         in_order: flag(p, "ByArrival"),
         zones: places(p, "ConfinedTo")?,
         kinds: places(p, "MachineTypesAllowed")?,
-        threads: family["WidthByClass"][i].as_f64().filter(|&t| t >= 1.0).unwrap_or(1.0),
-        load: family["Loads"][i].as_bool().unwrap_or(false),
-        waits_for_loads: family["BlockedByLoads"][i].as_bool().unwrap_or(false),
+        threads: family.get("WidthByClass").at(i).number().filter(|&t| t >= 1.0).unwrap_or(1.0),
+        load: family.get("Loads").at(i).flag(),
+        waits_for_loads: family.get("BlockedByLoads").at(i).flag(),
     })
 }
 
-fn field(f: &Value, family: &Value) -> ReportField {
+fn field(f: Json, family: Json) -> ReportField {
     let meaning = |key: &str| {
-        let text = family[key].as_str().unwrap_or_default();
+        let text = family.get(key).text().unwrap_or_default();
         if text.contains("memory") {
             ReportField::Memory
         } else if text.contains("disk") {
@@ -169,7 +177,7 @@
             ReportField::Unknown
         }
     };
-    match f.as_str() {
+    match f.text() {
         Some("active") => ReportField::Active,
         Some("waiting") => ReportField::Waiting,
         Some("cpu") => ReportField::Busy,
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -2,8 +2,6 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
-mod settings;
-
 use fernlink::interface::{
     Action, Ended, EngineId, Event, ListKind, Listed, Note, Outcome, Phase, Query, QueryId,
 };
@@ -12,7 +10,7 @@
 use std::io::Read;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-pub use settings::parse_settings;
+pub use driftfront_settings::parse_settings;
 
 /// Reads one batch: its clock and its records. `None` at a clean end of input.
 pub fn read_batch(input: &mut impl Read) -> Result<Option<(u64, Vec<u8>)>, String> {
