ClickHouse front and back end, engine lists from a file or etcd

Pieces of an answer now carry what describes them. A slow client stops the reading from its engine beyond 256 KB.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,7 +18,7 @@
 pub use book::Counters;
 pub use fernlink::interface::{EngineId, ListKind, Listed, Micros, Note, Outcome, Phase};
 pub use send::{AttemptError, Cause, Progress};
-pub use take_in::{Ask, Taken};
+pub use take_in::{Ask, Piece, Taken};
 
 use fernlink::interface::{Action, Event, QueryId, Settings};
 use fernlink::Controller;
@@ -64,7 +64,7 @@
     /// Final answer: failed, with the engine's words if there were any.
     Fail(RequestId, Option<Rc<str>>),
     /// Pass a piece of the answer on.
-    Relay(RequestId, Vec<u8>),
+    Relay(RequestId, Piece),
     /// Final answer: served; all pieces have been passed on.
     Finish(RequestId),
     /// Final answer: an answer begun cannot be finished; the client must see that.
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -1,11 +1,11 @@
 //! Stage 5, relay: an engine's answer goes to the client, and each request is answered once.
 
-use crate::{AttemptKey, Command, Core, Progress, RequestId};
+use crate::{AttemptKey, Command, Core, Piece, Progress, RequestId};
 use fernlink::interface::{Event, Micros, Outcome};
 
 impl Core {
     /// A piece of an attempt's answer, to be passed on. From here on the request is tied to the attempt.
-    pub fn relay(&mut self, key: AttemptKey, piece: Vec<u8>) {
+    pub fn relay(&mut self, key: AttemptKey, piece: Piece) {
         self.reached(key, Progress::AnswerBegun);
         let Some(request) = self.requests.get_mut(&key.request).filter(|r| !r.closed) else { return };
         if request.attempts.get(usize::from(key.number)).is_some_and(|a| a.outcome.is_none()) {
--- a/core/src/take_in.rs
+++ b/core/src/take_in.rs
@@ -21,10 +21,21 @@
     pub key: Option<u64>,
     /// Time until the client gives up.
     pub budget: Micros,
+    /// Names and values that go with the statement, passed on unchanged.
+    pub about: Rc<[(String, String)]>,
     /// The statement, passed on unchanged.
     pub statement: Rc<[u8]>,
 }
 
+/// A piece of an answer, to be passed on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Piece {
+    /// Names and values that describe the answer; with its first piece only.
+    pub about: Vec<(String, String)>,
+    /// Rows in the engine's form.
+    pub rows: Vec<u8>,
+}
+
 /// What a back end needs of a request to send it.
 pub struct Taken<'a> {
     /// The request as it was taken.
--- a/node/src/backs/lines.rs
+++ b/node/src/backs/lines.rs
@@ -1,14 +1,14 @@
 //! The platform's engine wire: lines of words, many requests on one connection.
 
 use super::{Seen, Session, Start};
-use driftfront_core::{AttemptKey, Cause, Note, Outcome};
+use driftfront_core::{AttemptKey, Cause, Note, Outcome, Piece};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// Longest line, longest page and most pages that an engine may send.
 const LINE_MOST: usize = 8 * 1024;
 const PAGE_MOST: usize = 64 * 1024;
-const PAGES_MOST: usize = 64;
+const PAGES_MOST: usize = 16;
 
 /// An answer's words.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -141,7 +141,7 @@
                             seen.push(Seen::Failed(key, Cause::Engine("result is not text".into())));
                             return Ok(());
                         }
-                        seen.push(Seen::Piece(key, whole));
+                        seen.push(Seen::Piece(key, Piece { about: Vec::new(), rows: whole }));
                         seen.push(Seen::Served(key, done.report));
                     }
                 }
@@ -207,12 +207,12 @@
     }
     fn start(&mut self, start: &Start, out: &mut Vec<u8>) {
         let ms = (start.patience / 1000).max(1);
-        let length = start.statement.len();
-        out.extend(format!("REQ {} kind={},ms={ms} {length}\r\n", start.call, start.class).bytes());
-        out.extend_from_slice(start.statement);
+        let length = start.ask.statement.len();
+        out.extend(format!("REQ {} kind={},ms={ms} {length}\r\n", start.ask.call, start.class).bytes());
+        out.extend_from_slice(&start.ask.statement);
         out.extend_from_slice(b"\r\n");
         let open = Open { key: start.key, pages: Vec::new(), report: Vec::new() };
-        self.open.insert(start.call.clone(), open);
+        self.open.insert(start.ask.call.clone(), open);
     }
     fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool {
         if let Some(call) = self.open.iter().find(|o| o.1.key == key).map(|o| o.0.clone()) {
--- a/node/src/backs/mod.rs
+++ b/node/src/backs/mod.rs
@@ -1,9 +1,9 @@
 //! Back ends: what is spoken on engines' connections, without their sockets.
 
+pub mod clickhouse;
 pub mod lines;
 
-use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome};
-use std::rc::Rc;
+use driftfront_core::{Ask, AttemptKey, Cause, Micros, Note, Outcome, Piece};
 
 /// What an engine's connection has brought.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,7 +13,7 @@
     /// The answer has begun.
     Begun(AttemptKey),
     /// A piece of the answer, to be passed on.
-    Piece(AttemptKey, Vec<u8>),
+    Piece(AttemptKey, Piece),
     /// The answer is whole.
     Served(AttemptKey, Vec<f64>),
     /// The attempt ended without serving.
@@ -26,14 +26,12 @@
 pub struct Start<'a> {
     /// Which.
     pub key: AttemptKey,
-    /// The client's name for the request.
-    pub call: &'a Rc<str>,
+    /// The request.
+    pub ask: &'a Ask,
     /// The name of its class.
     pub class: &'a str,
     /// How long the coordinator will wait.
     pub patience: Micros,
-    /// The statement.
-    pub statement: &'a [u8],
 }
 
 /// One connection's conversation.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,10 +1,11 @@
 //! A coordinator's configuration: what the platform, or an operator's file, says.
 
+use crate::fronts::Classes;
 use driftfront_core::{Limits, Micros};
 use driftfront_settings::json::{parse, Json};
 use fernlink::interface::Settings;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use tinyjson::JsonValue;
 
@@ -22,6 +23,10 @@
 pub enum Membership {
     /// The platform's event stream at this address.
     Stream(SocketAddr),
+    /// etcd's JSON gateway at this address, and the prefix of the engines' keys.
+    Etcd(SocketAddr, String),
+    /// A file of the operator's.
+    File(PathBuf),
     /// Only what the configuration lists.
     Fixed,
 }
@@ -38,6 +43,8 @@
     pub sockets: usize,
     /// Clients' and engines' interface.
     pub wire: Wire,
+    /// Classes of ClickHouse statements that only read, and of the others.
+    pub by_statement: (u16, u16),
     /// Where the list of engines comes from.
     pub membership: Membership,
     /// Number of the last event in `known`.
@@ -46,8 +53,8 @@
     pub known: Vec<JsonValue>,
     /// The module's settings.
     pub settings: Settings,
-    /// Names of the classes, by place.
-    pub classes: Rc<[String]>,
+    /// The classes as clients name them.
+    pub classes: Classes,
     /// Names of zones and of machine kinds, by place.
     pub zones: Vec<String>,
     /// See `zones`.
@@ -96,10 +103,21 @@
             Some("clickhouse") => Wire::ClickHouse,
             Some(other) => return Err(format!("front: unknown: {other}")),
         };
-        let membership = match root.get("coordinator").text() {
-            Some(addr) => Membership::Stream(addr.parse().map_err(|e| format!("coordinator: {e}"))?),
-            None => Membership::Fixed,
-        };
+        let address = |text: &str| text.parse::<SocketAddr>().map_err(|e| e.to_string());
+        let from = root.get("membership");
+        let membership =
+            match (root.get("coordinator").text(), from.get("etcd").text(), from.get("file").text()) {
+                (Some(at), None, None) => {
+                    Membership::Stream(address(at).map_err(|e| format!("coordinator: {e}"))?)
+                }
+                (None, Some(at), None) => {
+                    let prefix = from.get("prefix").text().unwrap_or("/driftfront/engines/");
+                    Membership::Etcd(address(at).map_err(|e| format!("membership.etcd: {e}"))?, prefix.into())
+                }
+                (None, None, Some(path)) => Membership::File(path.into()),
+                (None, None, None) => Membership::Fixed,
+                _ => return Err("coordinator, membership.etcd and membership.file exclude each other".into()),
+            };
         let names = |list: Json| -> Vec<String> {
             list.each().map(|n| n.text().unwrap_or_default().to_string()).collect()
         };
@@ -108,6 +126,16 @@
         let sockets = root.get("limits").get("sockets").whole().filter(|&n| n >= 64).unwrap_or(1024) as usize;
         let fields = names(json.get("LoadReport").get("Fields"));
         let gauge = |name: String| GAUGES.iter().find(|g| g.0 == name).map_or(name, |g| g.1.to_string());
+        let profiles = || json.get("Profiles").each();
+        let classes: Vec<String> = profiles().map(|p| p.get("Name").text().unwrap_or("").into()).collect();
+        let by_statement = |key: &str| match root.get("clickhouse").get(key).text() {
+            None => Ok(0),
+            Some(name) => {
+                let place = classes.iter().position(|c| c == name);
+                place.map(|n| n as u16).ok_or(format!("clickhouse.{key}: there is no class {name}"))
+            }
+        };
+        let by_statement = (by_statement("read")?, by_statement("write")?);
         let seed = root.get("seed").text().unwrap_or_default();
         Ok(Config {
             name: root.get("name").text().unwrap_or("driftfront").into(),
@@ -115,10 +143,14 @@
             seed: u64::from_str_radix(seed, 16).unwrap_or_else(|_| crate::net::hash(seed.as_bytes())),
             sockets,
             wire,
+            by_statement,
             membership,
             known_index: root.get("known").get("index").whole().unwrap_or(0),
             known: root.get("known").get("updates").list().unwrap_or(&[]).to_vec(),
-            classes: json.get("Profiles").each().map(|p| p.get("Name").text().unwrap_or("").into()).collect(),
+            classes: Classes {
+                names: classes.into(),
+                patience: profiles().map(|p| p.get("DeadlineUs").whole().unwrap_or(30_000_000)).collect(),
+            },
             zones: names(json.get("FailureDomains")),
             kinds: names(json.get("MachineTypes")),
             gauges: fields.into_iter().map(gauge).collect(),
--- a/node/src/console.rs
+++ b/node/src/console.rs
@@ -12,9 +12,11 @@
     let _ = writeln!(text, "name        {}", config.name);
     let _ = writeln!(text, "listen      {}", config.listen);
     let _ = writeln!(text, "front       {:?}", config.wire);
-    let _ = writeln!(text, "classes     {}", config.classes.join(", "));
+    let _ = writeln!(text, "classes     {}", config.classes.names.join(", "));
     let membership = match &config.membership {
         Membership::Stream(addr) => format!("event stream at {addr}"),
+        Membership::Etcd(addr, prefix) => format!("etcd at {addr}, keys under {prefix}"),
+        Membership::File(path) => format!("file {}", path.display()),
         Membership::Fixed => "as listed".into(),
     };
     let _ = writeln!(text, "membership  {membership}; {} updates known", config.known.len());
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -1,9 +1,10 @@
 //! Fronts: what is spoken with clients, without their sockets.
 
+pub mod clickhouse;
 pub mod platform;
 
 use crate::net::http::Request;
-use driftfront_core::{Ask, Micros};
+use driftfront_core::{Ask, Micros, Piece};
 use std::rc::Rc;
 
 /// What a front makes of a request.
@@ -21,7 +22,7 @@
 /// Writes one request's answer in the client's form.
 pub trait AnswerWriter {
     /// A piece of the result.
-    fn piece(&mut self, piece: &[u8], out: &mut Vec<u8>);
+    fn piece(&mut self, piece: &Piece, out: &mut Vec<u8>);
     /// The result is whole.
     fn finish(&mut self, out: &mut Vec<u8>);
     /// Refused: harmless to try again after this time.
@@ -40,11 +41,13 @@
     fn body_most(&self) -> usize;
 }
 
-/// Names of the classes and the deadlines that they have of themselves.
+/// The classes as clients name them.
 #[derive(Clone)]
 pub struct Classes {
     /// Names, by place.
     pub names: Rc<[String]>,
+    /// How long a client waits that does not say, by place.
+    pub patience: Rc<[Micros]>,
 }
 
 impl Classes {
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -4,7 +4,7 @@
 use crate::net::hash;
 use crate::net::http::{header, response, Request};
 use crate::sql::table_group;
-use driftfront_core::{Ask, Micros};
+use driftfront_core::{Ask, Micros, Piece};
 use std::rc::Rc;
 
 /// Largest statement taken.
@@ -76,6 +76,7 @@
         tables: table_group(statement),
         key,
         budget: ((patience.min(PATIENCE_MOST) - held) * 1000.0) as Micros,
+        about: Rc::from([]),
         statement: Rc::from(request.body),
     })
 }
@@ -87,8 +88,8 @@
 }
 
 impl AnswerWriter for Rows {
-    fn piece(&mut self, piece: &[u8], _out: &mut Vec<u8>) {
-        let Ok(text) = std::str::from_utf8(piece) else { return };
+    fn piece(&mut self, piece: &Piece, _out: &mut Vec<u8>) {
+        let Ok(text) = std::str::from_utf8(&piece.rows) else { return };
         for row in text.strip_suffix('\n').unwrap_or(text).split('\n').filter(|_| !text.is_empty()) {
             self.body.push(if self.body.is_empty() { b'[' } else { b',' });
             for (n, column) in row.split('\t').enumerate() {
@@ -130,7 +131,7 @@
         let headers = headers.iter().map(|h| (h.0.to_string(), h.1.to_string())).collect();
         let (method, target, body) = ("POST".into(), path.into(), body.as_bytes().to_vec());
         let names: Vec<String> = vec!["lookup".into(), "member-load".into()];
-        let front = Platform { classes: Classes { names: names.into() } };
+        let front = Platform { classes: Classes { names: names.into(), patience: Rc::from([]) } };
         front.intake(Request { method, target, headers, body, close: false }, 0)
     }
 
@@ -173,8 +174,9 @@
     #[test]
     fn rows_are_passed_on_unchanged_and_in_order() {
         let (mut writer, mut out) = (Rows::default(), Vec::new());
-        writer.piece("a\t1\t\"q\"\nb\t\t\u{e9}\n".as_bytes(), &mut out);
-        writer.piece(b"c\t2\ty\n", &mut out);
+        let piece = |rows: &str| Piece { about: Vec::new(), rows: rows.into() };
+        writer.piece(&piece("a\t1\t\"q\"\nb\t\t\u{e9}\n"), &mut out);
+        writer.piece(&piece("c\t2\ty\n"), &mut out);
         assert!(out.is_empty());
         writer.finish(&mut out);
         let text = String::from_utf8(out).unwrap();
--- a/node/src/members/mod.rs
+++ b/node/src/members/mod.rs
@@ -1,17 +1,30 @@
 //! Membership: who the engines are, where, and in which phase. Sources: the platform's event stream, an
 //! operator's file, or etcd's watch API.
 
+pub mod etcd;
+pub mod file;
 pub mod stream;
 
 use crate::net::hash;
-use driftfront_core::{EngineId, ListKind, Listed, Phase};
+use driftfront_core::{EngineId, ListKind, Listed, Micros, Phase};
 use driftfront_settings::json::Json;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use tinyjson::JsonValue;
 
 /// Most engines kept; more are left out, so that a list cannot exhaust the memory.
 const ENGINES_MOST: usize = 4096;
 
+/// A list that is watched over one connection, which may be opened again and again.
+pub trait Watch {
+    /// A new connection is up: what to write on it.
+    fn open(&mut self) -> Vec<u8>;
+    /// Bytes have come: updates to the list, and what to write; an error ends the connection.
+    fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>, updates: &mut Vec<JsonValue>) -> Result<(), String>;
+    /// A connection on which nothing comes for this long is broken.
+    fn silence(&self) -> Micros;
+}
+
 /// A change to the list, in the module's terms.
 #[derive(Clone, Debug)]
 pub struct Change {
--- a/node/src/members/stream.rs
+++ b/node/src/members/stream.rs
@@ -1,10 +1,13 @@
 //! The platform's list: server-sent events over HTTP. Without sockets: bytes in, events out.
 
+use super::Watch;
 use crate::net::http::{ResponsePart, ResponseReader};
 use driftfront_core::Micros;
+use driftfront_settings::json::{parse, Json};
+use tinyjson::JsonValue;
 
 /// A comment comes each second: nothing for this long means a broken stream.
-pub const SILENCE: Micros = 2_500_000;
+const SILENCE: Micros = 2_500_000;
 /// Longest event read.
 const EVENT_MOST: usize = 4 * 1024 * 1024;
 
@@ -73,33 +76,65 @@
     }
 }
 
-/// One connection to the stream.
-#[derive(Default)]
+/// The platform's stream of changes.
 pub struct Stream {
+    host: String,
+    /// Number of the last event taken over.
+    last: u64,
     http: ResponseReader,
     events: EventReader,
 }
 
 impl Stream {
-    /// The request that opens the stream behind an event.
-    pub fn request(host: &str, last: u64) -> Vec<u8> {
+    /// The stream behind the event of this number.
+    pub fn new(host: String, last: u64) -> Stream {
+        let (http, events) = Default::default();
+        Stream { host, last, http, events }
+    }
+
+    fn take(&mut self, event: ServerEvent, updates: &mut Vec<JsonValue>) {
+        let json = match parse(event.data.as_bytes()) {
+            Ok(json) => json,
+            Err(e) => return tracing::warn!("engine list: {e}"),
+        };
+        // After a new connection events may come again.
+        let number = event.id.or(Json(Some(&json)).get("index").whole());
+        if number.is_some_and(|n| n <= self.last) {
+            return;
+        }
+        self.last = number.unwrap_or(self.last);
+        updates.push(json);
+    }
+}
+
+impl Watch for Stream {
+    fn open(&mut self) -> Vec<u8> {
+        (self.http, self.events) = Default::default();
+        let (host, last) = (&self.host, self.last);
         format!("GET /v2/stream HTTP/1.1\r\nHost: {host}\r\nAccept: text/event-stream\r\nLast-Event-ID: {last}\r\n\r\n")
             .into_bytes()
     }
 
-    /// Bytes have come; an error ends the connection.
-    pub fn feed(&mut self, bytes: &[u8], events: &mut Vec<ServerEvent>) -> Result<(), String> {
+    fn feed(&mut self, bytes: &[u8], _out: &mut Vec<u8>, updates: &mut Vec<JsonValue>) -> Result<(), String> {
         self.http.push(bytes);
+        let mut events = Vec::new();
         while let Some(part) = self.http.next_part().map_err(|e| format!("bad HTTP: {e:?}"))? {
             match part {
                 ResponsePart::Head(head) if head.status != 200 => {
                     return Err(format!("status {}", head.status));
                 }
                 ResponsePart::Head(_) => {}
-                ResponsePart::Body(bytes) => self.events.push(&bytes, events)?,
+                ResponsePart::Body(bytes) => self.events.push(&bytes, &mut events)?,
                 ResponsePart::End => return Err("the stream ended".into()),
             }
+            for event in events.drain(..) {
+                self.take(event, updates);
+            }
         }
         Ok(())
     }
+
+    fn silence(&self) -> Micros {
+        SILENCE
+    }
 }
--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Bytes that wait for a request's client to read them.
+    pub(super) fn client_backlog(&self, request: RequestId) -> usize {
+        let client = self.asking.get(&request).and_then(|id| self.clients.get(id));
+        client.map_or(0, |c| c.link.backlog())
+    }
+
     fn drop_oldest_idle(&mut self, now: Micros) -> bool {
         let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
         let oldest = idle.min_by_key(|(_, c)| c.used).map(|(&id, _)| id);
@@ -136,6 +142,7 @@
             client.more = true;
         }
         self.client_work(now, id);
+        self.resume_engines(now);
     }
 
     /// Writes and reads as far as both go.
--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -18,6 +18,8 @@
 /// With work out, notes come each second; after this long without a byte a connection counts as silent, and
 /// new work goes by another one, whose connect shows at once whether the engine can be reached.
 const SILENT: Micros = 1_600_000;
+/// Bytes passed on that a client may leave unread.
+const BACKLOG_MOST: usize = 256 * 1024;
 const READ_AT_ONCE: usize = 64 * 1024;
 
 /// What waits to be written.
@@ -39,6 +41,8 @@
     marks: VecDeque<(u64, u64, AttemptKey)>,
     heard: Micros,
     used: Micros,
+    /// Reading waits until a slow client has taken what it was passed.
+    paused: bool,
     /// Takes no new work: silent, or of an earlier process.
     retired: bool,
 }
@@ -92,13 +96,14 @@
             engine,
             link: Link::new(stream),
             token: Some(token),
-            session: self.session(),
+            session: self.session(addr),
             up: false,
             connect_by: now + self.config.connect_timeout,
             waiting: VecDeque::new(),
             marks: VecDeque::new(),
             heard: now,
             used: now,
+            paused: false,
             retired: false,
         };
         self.engines.insert(id, conn);
@@ -194,14 +199,9 @@
                     self.core.reached(key, Progress::Connected);
                     let Some(patience) = self.core.may_write(now, key) else { continue };
                     let Some(taken) = self.core.taken(key.request) else { continue };
-                    let class = self.config.classes.get(usize::from(taken.ask.class));
-                    let start = Start {
-                        key,
-                        call: &taken.ask.call,
-                        class: class.map_or("", String::as_str),
-                        patience,
-                        statement: &taken.ask.statement,
-                    };
+                    let class = self.config.classes.names.get(usize::from(taken.ask.class));
+                    let start =
+                        Start { key, ask: taken.ask, class: class.map_or("", String::as_str), patience };
                     conn.session.start(&start, &mut out);
                     let begin = conn.link.queued();
                     conn.marks.push_back((begin, begin + out.len() as u64, key));
@@ -230,7 +230,12 @@
 
     fn engine_read(&mut self, now: Micros, id: ConnId) {
         loop {
+            let paused = self.is_ahead(id);
             let Some(conn) = self.engines.get_mut(&id) else { return };
+            conn.paused = paused;
+            if paused {
+                return;
+            }
             let mut bytes = Vec::new();
             let end = match conn.link.read(&mut bytes, READ_AT_ONCE) {
                 Ok(end) => end,
@@ -256,6 +261,22 @@
         }
     }
 
+    /// Whether the client of what streams here is far behind: nothing more is read for it then, so that a
+    /// slow client does not fill the memory.
+    fn is_ahead(&self, id: ConnId) -> bool {
+        let streams = self.engines.get(&id).filter(|c| c.session.most() == 1);
+        let open = streams.map(|c| c.session.open()).unwrap_or_default();
+        open.iter().any(|key| self.client_backlog(key.request) > BACKLOG_MOST)
+    }
+
+    /// Reads on where a client has caught up.
+    pub(super) fn resume_engines(&mut self, now: Micros) {
+        let paused = self.engines.iter().filter(|(_, c)| c.paused).map(|(&id, _)| id);
+        for id in paused.collect::<Vec<_>>() {
+            self.engine_read(now, id);
+        }
+    }
+
     fn take_seen(&mut self, now: Micros, seen: Vec<Seen>) {
         for each in seen {
             match each {
@@ -309,6 +330,10 @@
             if !c.up {
                 return (now > c.connect_by).then_some("connect timed out");
             }
+            // A probe that no answer comes to must not hold its connection for ever.
+            if c.is_silent(now) && c.session.open().is_empty() && c.waiting.is_empty() {
+                return Some("silent");
+            }
             let unused = c.is_idle() && (c.retired || c.session.is_spent() || c.is_stale(now, idle));
             unused.then_some("no longer used")
         };
@@ -316,5 +341,6 @@
         for (id, why) in ends {
             self.drop_engine(now, id, why);
         }
+        self.resume_engines(now);
     }
 }
--- a/node/src/node/feed.rs
+++ b/node/src/node/feed.rs
@@ -1,12 +1,14 @@
-//! The connection to the platform's list of engines: kept up, and taken anew when it falls silent.
+//! Where the list of engines comes from: one watched connection, kept up, or a file.
 
 use super::{ConnId, Node, Source};
-use crate::members::stream::{ServerEvent, Stream, SILENCE};
+use crate::config::Membership;
+use crate::members::{etcd::Etcd, file::File, stream::Stream, Watch};
 use crate::net::{connect, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::Micros;
-use driftfront_settings::json::{parse, Json};
+use driftfront_settings::json::Json;
 use std::net::SocketAddr;
+use tinyjson::JsonValue;
 
 /// A connect that takes longer is begun anew.
 const CONNECT_MOST: Micros = 1_000_000;
@@ -17,10 +19,9 @@
 
 /// The feed of engine lists.
 pub(super) struct Feed {
-    coordinator: Option<SocketAddr>,
+    watch: Option<(SocketAddr, Box<dyn Watch>)>,
+    file: Option<File>,
     conn: Option<FeedConn>,
-    /// Number of the last event taken over.
-    last: u64,
     next_try: Micros,
     failures: u32,
 }
@@ -29,22 +30,33 @@
     id: ConnId,
     link: Link,
     token: Option<RegistrationToken>,
-    stream: Stream,
     up: bool,
     heard: Micros,
 }
 
 impl Feed {
-    pub(super) fn new(coordinator: Option<SocketAddr>, last: u64) -> Feed {
-        Feed { coordinator, conn: None, last, next_try: 0, failures: 0 }
+    pub(super) fn new(from: &Membership, last: u64) -> Feed {
+        let (mut watch, mut file): (Option<(SocketAddr, Box<dyn Watch>)>, _) = (None, None);
+        match from {
+            Membership::Stream(addr) => watch = Some((*addr, Box::new(Stream::new(addr.to_string(), last)))),
+            Membership::Etcd(addr, prefix) => {
+                watch = Some((*addr, Box::new(Etcd::new(addr.to_string(), prefix.clone()))));
+            }
+            Membership::File(path) => file = Some(File::new(path.clone())),
+            Membership::Fixed => {}
+        }
+        Feed { watch, file, conn: None, next_try: 0, failures: 0 }
     }
 }
 
 impl Node {
     pub(super) fn sweep_feed(&mut self, now: Micros) {
-        let Some(addr) = self.feed.coordinator else { return };
+        if let Some(update) = self.feed.file.as_mut().and_then(|f| f.poll(now)) {
+            self.take_update(now, &update);
+        }
+        let Some((addr, silence)) = self.feed.watch.as_ref().map(|w| (w.0, w.1.silence())) else { return };
         if let Some(conn) = &self.feed.conn {
-            let most = if conn.up { SILENCE } else { CONNECT_MOST };
+            let most = if conn.up { silence } else { CONNECT_MOST };
             if now > conn.heard + most {
                 self.drop_feed(now, "silent");
             }
@@ -54,9 +66,8 @@
             let opened = connect(addr).map_err(|e| e.to_string());
             match opened.and_then(|s| Ok((s.clone(), self.register(s, Source::Feed(id))?))) {
                 Ok((stream, token)) => {
-                    let link = Link::new(stream);
-                    let (stream, token) = (Stream::default(), Some(token));
-                    self.feed.conn = Some(FeedConn { id, link, token, stream, up: false, heard: now });
+                    let (link, token) = (Link::new(stream), Some(token));
+                    self.feed.conn = Some(FeedConn { id, link, token, up: false, heard: now });
                 }
                 Err(e) => self.drop_feed(now, &e),
             }
@@ -79,51 +90,43 @@
     }
 
     fn feed_work(&mut self, now: Micros, id: ConnId) -> Result<(), String> {
-        let last = self.feed.last;
-        let host = self.feed.coordinator.map(|a| a.to_string()).unwrap_or_default();
         loop {
             let Some(conn) = self.feed.conn.as_mut().filter(|c| c.id == id) else { return Ok(()) };
+            let Some((_, watch)) = self.feed.watch.as_mut() else { return Ok(()) };
             if !conn.up {
                 if !conn.link.came_up().map_err(|e| e.to_string())? {
                     return Ok(());
                 }
                 (conn.up, conn.heard) = (true, now);
-                conn.link.push(&Stream::request(&host, last));
+                conn.link.push(&watch.open());
             }
             conn.link.flush().map_err(|e| e.to_string())?;
-            let (mut bytes, mut events) = (Vec::new(), Vec::new());
+            let (mut bytes, mut out, mut updates) = (Vec::new(), Vec::new(), Vec::new());
             let end = conn.link.read(&mut bytes, READ_AT_ONCE).map_err(|e| e.to_string())?;
+            let mut fed = Ok(());
             if !bytes.is_empty() {
                 conn.heard = now;
                 self.feed.failures = 0;
-                conn.stream.feed(&bytes, &mut events)?;
+                fed = watch.feed(&bytes, &mut out, &mut updates);
+                conn.link.push(&out);
+                conn.link.flush().map_err(|e| e.to_string())?;
             }
-            for event in events {
-                self.take_event(now, &event);
+            for update in updates {
+                self.take_update(now, &update);
             }
+            fed?;
             match end {
                 ReadEnd::Dry => return Ok(()),
-                ReadEnd::Closed => return Err("closed by the coordinator".into()),
+                ReadEnd::Closed => return Err("closed by the other side".into()),
                 ReadEnd::Enough => {}
             }
         }
     }
 
-    fn take_event(&mut self, now: Micros, event: &ServerEvent) {
-        let json = match parse(event.data.as_bytes()) {
-            Ok(json) => json,
-            Err(e) => return tracing::warn!("engine list: {e}"),
-        };
-        let json = Json(Some(&json));
-        // After a new connection events may come again.
-        let number = event.id.or(json.get("index").whole());
-        if number.is_some_and(|n| n <= self.feed.last) {
-            return;
-        }
-        match self.table.apply(json) {
+    fn take_update(&mut self, now: Micros, update: &JsonValue) {
+        match self.table.apply(Json(Some(update))) {
             Ok(change) => self.take_change(now, &change),
             Err(e) => tracing::warn!("engine list: {e}"),
         }
-        self.feed.last = number.unwrap_or(self.feed.last);
     }
 }
--- a/node/src/node/mod.rs
+++ b/node/src/node/mod.rs
@@ -4,9 +4,10 @@
 mod engines;
 mod feed;
 
-use crate::backs::{lines::Lines, Session};
-use crate::config::{Config, Membership, Wire};
-use crate::fronts::{platform::Platform, Classes, Front};
+use crate::backs::{clickhouse::Http, lines::Lines, Session};
+use crate::config::{Config, Wire};
+use crate::fronts::clickhouse::{ClickHouse, Names};
+use crate::fronts::{platform::Platform, Front};
 use crate::members::{Change, Table};
 use crate::net::unix_now;
 use calloop::generic::Generic;
@@ -61,14 +62,13 @@
     pub fn new(config: Config, events: &EventLoop<'static, Node>) -> Result<Node, String> {
         let listener =
             clients::listen(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
-        let classes = Classes { names: config.classes.clone() };
+        let classes = config.classes.clone();
         let front: Box<dyn Front> = match config.wire {
             Wire::Platform => Box::new(Platform { classes }),
-            Wire::ClickHouse => return Err("front clickhouse is not built in".into()),
-        };
-        let coordinator = match config.membership {
-            Membership::Stream(addr) => Some(addr),
-            Membership::Fixed => None,
+            Wire::ClickHouse => {
+                let (read, write) = config.by_statement;
+                Box::new(ClickHouse { classes, read, write, names: Names::new(config.seed) })
+            }
         };
         let now = unix_now();
         let mut node = Node {
@@ -82,7 +82,7 @@
             asking: BTreeMap::new(),
             engines: BTreeMap::new(),
             table: Table::new(config.zones.clone(), config.kinds.clone()),
-            feed: feed::Feed::new(coordinator, config.known_index),
+            feed: feed::Feed::new(&config.membership, config.known_index),
             next_sweep: now,
             stop_at: None,
             config,
@@ -103,7 +103,8 @@
 
     /// Runs until a signal has asked for the end and all that was taken is answered.
     pub fn run(mut self, mut events: EventLoop<'static, Node>) -> Result<(), String> {
-        tracing::info!(name = %self.config.name, listen = %self.config.listen, "serving");
+        let listen = self.listener.local_addr().map_or(self.config.listen, |a| a);
+        tracing::info!(name = %self.config.name, %listen, "serving");
         loop {
             self.guard("timers", Node::on_time);
             if self.may_end() {
@@ -259,8 +260,11 @@
         self.carry_out();
     }
 
-    fn session(&self) -> Box<dyn Session> {
-        Box::new(Lines::new(self.config.streams, self.config.gauges.clone()))
+    fn session(&self, addr: SocketAddr) -> Box<dyn Session> {
+        match self.config.wire {
+            Wire::Platform => Box::new(Lines::new(self.config.streams, self.config.gauges.clone())),
+            Wire::ClickHouse => Box::new(Http::new(addr.to_string())),
+        }
     }
 
     fn addr(&self, engine: EngineId) -> Option<SocketAddr> {
--- a/node/src/sql.rs
+++ b/node/src/sql.rs
@@ -19,6 +19,31 @@
     otherwise
 }
 
+/// Whether a statement only reads, by its first word.
+pub fn is_read(statement: &str) -> bool {
+    let reading = ["select", "with", "show", "describe", "desc", "exists", "explain"];
+    let first = tokens(statement).into_iter().find_map(|t| match t {
+        Token::Name(word) => Some(word),
+        _ => None,
+    });
+    first.is_some_and(|word| reading.iter().any(|r| word.eq_ignore_ascii_case(r)))
+}
+
+/// The table that a statement writes, with its schema if that is named.
+pub fn target_table(statement: &str) -> Option<String> {
+    let tokens = tokens(statement);
+    let at = tokens.iter().position(|t| is_word(t, &["into", "table", "update"]))? + 1;
+    // INSERT INTO may be followed by TABLE.
+    let at = at + usize::from(tokens.get(at).is_some_and(|t| is_word(t, &["table"])));
+    match (tokens.get(at)?, tokens.get(at + 1), tokens.get(at + 2)) {
+        (Token::Name(schema), Some(Token::Dot), Some(Token::Name(table))) => {
+            Some(format!("{schema}.{table}"))
+        }
+        (Token::Name(table), ..) => Some(table.clone()),
+        _ => None,
+    }
+}
+
 fn group(schema: &str) -> Option<u32> {
     let (name, number) = schema.rsplit_once('_')?;
     let digits = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit());
@@ -26,8 +51,11 @@
 }
 
 fn is_table_word(token: Option<&Token>) -> bool {
-    let Some(Token::Name(word)) = token else { return false };
-    ["from", "join", "into", "update", "table", "only"].iter().any(|w| word.eq_ignore_ascii_case(w))
+    token.is_some_and(|t| is_word(t, &["from", "join", "into", "update", "table", "only"]))
+}
+
+fn is_word(token: &Token, words: &[&str]) -> bool {
+    matches!(token, Token::Name(name) if words.iter().any(|w| name.eq_ignore_ascii_case(w)))
 }
 
 enum Token {
@@ -112,7 +140,17 @@
 
 #[cfg(test)]
 mod tests {
-    use super::table_group;
+    use super::{is_read, table_group, target_table};
+
+    #[test]
+    fn reads_and_the_tables_of_writes_are_told_apart() {
+        assert!(is_read("/* x */ with 1 as a SELECT a") && is_read("(SELECT 1)"));
+        assert!(!is_read("INSERT INTO t SELECT 1") && !is_read(""));
+        let table = |s| target_table(s).unwrap_or_default();
+        assert_eq!(table("INSERT INTO TABLE uni_4.members FORMAT CSV\n1,2"), "uni_4.members");
+        assert_eq!(table("insert into `members` values (1)"), "members");
+        assert_eq!(table("DROP VIEW v"), "");
+    }
 
     #[test]
     fn the_group_is_the_schema_s_number() {
