--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,254 @@
+//! Runs the program itself on loopback against stand-ins. Waits are for events, never for a time.
+#![allow(dead_code)]
+
+use driftfront::net::http::{header, Header, ResponsePart, ResponseReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// A wait that long means that the test has failed; nothing is decided by it.
+pub const FOR_EVER: Duration = Duration::from_secs(60);
+
+/// Where the settings of the operator's example stand.
+pub fn appliance() -> String {
+    let path = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../deploy/appliance.json");
+    std::fs::read_to_string(path).expect("deploy/appliance.json")
+}
+
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+/// A file of this test's own.
+pub fn file(text: &str) -> PathBuf {
+    let n = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("driftfront-test-{}-{n}.json", std::process::id()));
+    std::fs::write(&path, text).expect("a temporary file");
+    path
+}
+
+/// A coordinator, running as its operators run it.
+pub struct Coordinator {
+    child: Child,
+    pub addr: SocketAddr,
+    files: Vec<PathBuf>,
+}
+
+impl Coordinator {
+    pub fn start(config: &str) -> Coordinator {
+        let path = file(config);
+        let mut child = Command::new(env!("CARGO_BIN_EXE_driftfront"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        while !line.contains("listen=") {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended");
+        }
+        let addr = line.trim().rsplit("listen=").next().and_then(|a| a.parse().ok()).expect("an address");
+        std::thread::spawn(move || {
+            let mut rest = String::new();
+            let _ = log.read_to_string(&mut rest);
+        });
+        Coordinator { child, addr, files: vec![path] }
+    }
+
+    /// One of the counters, by name.
+    pub fn counter(&self, name: &str) -> u64 {
+        let text = get(self.addr, "/counters").text();
+        let line = text.lines().find(|l| l.split(' ').next() == Some(name)).expect("a counter of this name");
+        line.rsplit(' ').next().and_then(|n| n.parse().ok()).expect("a count")
+    }
+
+    /// Asks again and again until a counter has come this far.
+    pub fn wait_for(&self, name: &str, least: u64) {
+        let begin = std::time::Instant::now();
+        while self.counter(name) < least {
+            assert!(begin.elapsed() < FOR_EVER, "{name} never came to {least}");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn wait_until_ready(&self) {
+        let begin = std::time::Instant::now();
+        while get(self.addr, "/alive").status != 200 {
+            assert!(begin.elapsed() < FOR_EVER, "never ready");
+            std::thread::yield_now();
+        }
+    }
+
+    /// Asks it to end as the platform does.
+    pub fn terminate(&self) {
+        let status = Command::new("kill").arg(self.child.id().to_string()).status().expect("kill");
+        assert!(status.success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the program ends")
+    }
+}
+
+impl Drop for Coordinator {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        for path in &self.files {
+            let _ = std::fs::remove_file(path);
+        }
+    }
+}
+
+/// An answer as a client sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<Header>,
+    pub body: Vec<u8>,
+    /// Its end was told, not just the connection's.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.headers, name)
+    }
+}
+
+/// Reads one answer off a connection.
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    read_next(stream, &mut ResponseReader::default())
+}
+
+/// Reads the next of several answers off a connection.
+pub fn read_next(stream: &mut TcpStream, reader: &mut ResponseReader) -> Answer {
+    stream.set_read_timeout(Some(FOR_EVER)).expect("a timeout");
+    let mut answer = Answer { status: 0, headers: Vec::new(), body: Vec::new(), whole: false };
+    let mut chunk = [0; 4096];
+    loop {
+        while let Some(part) = reader.next_part().expect("HTTP") {
+            match part {
+                ResponsePart::Head(head) => (answer.status, answer.headers) = (head.status, head.headers),
+                ResponsePart::Body(bytes) => answer.body.extend(bytes),
+                ResponsePart::End => {
+                    answer.whole = true;
+                    return answer;
+                }
+            }
+        }
+        match stream.read(&mut chunk) {
+            Ok(0) => return answer,
+            Ok(n) => reader.push(&chunk[..n]),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return answer,
+            Err(e) => panic!("no answer: {e}"),
+        }
+    }
+}
+
+/// Sends these bytes on a new connection and reads the answer.
+pub fn call(addr: SocketAddr, bytes: &[u8]) -> Answer {
+    let mut stream = TcpStream::connect(addr).expect("the coordinator listens");
+    stream.write_all(bytes).expect("it reads");
+    read_answer(&mut stream)
+}
+
+pub fn get(addr: SocketAddr, target: &str) -> Answer {
+    call(addr, format!("GET {target} HTTP/1.1\r\nHost: t\r\n\r\n").as_bytes())
+}
+
+pub fn post(addr: SocketAddr, target: &str, headers: &str, body: &str) -> Answer {
+    let length = body.len();
+    call(
+        addr,
+        format!("POST {target} HTTP/1.1\r\nHost: t\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
+            .as_bytes(),
+    )
+}
+
+/// A stand-in that hands every connection to this function, each on a thread of its own.
+pub fn stand_in(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let serve = std::sync::Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    addr
+}
+
+/// An engine's line for a list.
+pub fn instance(name: &str, addr: SocketAddr, lifecycle: &str) -> String {
+    format!(
+        "{{\"instanceId\":\"{name}\",\"hostPort\":\"{addr}\",\"zone\":\"building-a\",\
+         \"machineType\":\"std-8\",\"cell\":0,\"lifecycle\":\"{lifecycle}\",\"startedAtMs\":0}}"
+    )
+}
+
+/// What the engines were sent, in one order over all of them, and the rules counted on it.
+#[derive(Default)]
+pub struct Ledger(std::sync::Mutex<Vec<Entry>>);
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub engine: usize,
+    pub statement: String,
+    pub over: Option<usize>,
+    /// It may have run.
+    pub ran: bool,
+    begin: usize,
+}
+
+impl Ledger {
+    pub fn begin(&self, engine: usize, statement: &str) -> usize {
+        let mut entries = self.0.lock().expect("no panic");
+        let begin = tick();
+        entries.push(Entry { engine, statement: statement.into(), over: None, ran: true, begin });
+        entries.len() - 1
+    }
+    pub fn end(&self, entry: usize, ran: bool) {
+        let mut entries = self.0.lock().expect("no panic");
+        (entries[entry].over, entries[entry].ran) = (Some(tick()), ran);
+    }
+    pub fn of(&self, statement: &str) -> Vec<Entry> {
+        let entries = self.0.lock().expect("no panic");
+        entries.iter().filter(|e| e.statement.contains(statement)).cloned().collect()
+    }
+
+    /// Counts every rule that can be seen from the engines: one attempt at a time, six at most, what must
+    /// not run twice, the order of a key, and the ration of further attempts.
+    pub fn assert_rules(&self, taken: usize) {
+        let entries = self.0.lock().expect("no panic").clone();
+        let mut names: Vec<&str> = entries.iter().map(|e| e.statement.as_str()).collect();
+        names.sort_unstable();
+        names.dedup();
+        let apart = |a: &Entry, b: &Entry| a.over.is_some_and(|over| over < b.begin);
+        for name in &names {
+            let tries: Vec<&Entry> = entries.iter().filter(|e| e.statement == *name).collect();
+            assert!(tries.len() <= 6, "{name}: {} attempts", tries.len());
+            assert!(tries.windows(2).all(|t| apart(t[0], t[1])), "{name}: two attempts at once");
+            if name.starts_with("INSERT") {
+                assert!(tries.iter().filter(|t| t.ran).count() <= 1, "{name}: may have run twice");
+            }
+        }
+        let loads: Vec<&Entry> =
+            entries.iter().filter(|e| e.statement.starts_with("INSERT INTO o.keyed")).collect();
+        assert!(loads.windows(2).all(|t| apart(t[0], t[1])), "loads of one key overlap");
+        let further = entries.len() - names.len();
+        assert!(further as f64 <= 5.0 + 0.1 * taken as f64, "{further} further attempts for {taken}");
+    }
+}
+
+fn tick() -> usize {
+    static CLOCK: AtomicUsize = AtomicUsize::new(0);
+    CLOCK.fetch_add(1, Ordering::SeqCst)
+}
--- /dev/null
+++ b/node/tests/platform.rs
@@ -0,0 +1,265 @@
+//! The platform's front, whole: clients, the program, stand-in engines and a stand-in list of engines.
+
+mod common;
+
+use common::{
+    appliance, call, instance, post, read_answer, read_next, stand_in, Answer, Coordinator, Ledger,
+};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+
+/// An engine that speaks in lines; a word in the statement says what it does.
+fn serve(stream: TcpStream, engine: usize, ledger: &Ledger) {
+    let mut out = stream.try_clone().unwrap();
+    let mut input = BufReader::new(stream);
+    let mut pages: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    loop {
+        let mut line = String::new();
+        if input.read_line(&mut line).unwrap_or(0) == 0 {
+            return;
+        }
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let answer = match words[..] {
+            ["STAT", tag] => format!("{tag} PONG gauges=inflight:1;queue:0;x0:0.1 0\r\n\r\n"),
+            ["FETCH", id, n] => match pages.get(id).and_then(|p| p.get(n.parse::<usize>().unwrap())) {
+                Some(page) => format!("{id} PART fetch_no={n} {}\r\n{page}\r\n", page.len()),
+                None => format!("{id} FAULT - 0\r\n\r\n"),
+            },
+            ["END" | "STOP", _] => String::new(),
+            ["REQ", id, fields, length] => {
+                assert!(fields.starts_with("kind=") && fields.contains(",ms="), "{fields}");
+                let mut body = vec![0; length.parse::<usize>().unwrap() + 2];
+                input.read_exact(&mut body).unwrap();
+                let statement = String::from_utf8_lossy(&body[..body.len() - 2]).into_owned();
+                let entry = ledger.begin(engine, &statement);
+                let first = ledger.of(&statement).len() == 1;
+                let is = |word: &str| statement.contains(word);
+                if is("silent") {
+                    continue;
+                }
+                ledger.end(entry, !is("full"));
+                if is("full") && first {
+                    format!("{id} SHED - 0\r\n\r\n")
+                } else if is("fault") && first {
+                    format!("{id} FAULT - 0\r\n\r\n")
+                } else if is("dies") && first {
+                    return;
+                } else if is("nonsense") && first {
+                    "what is this\r\n".into()
+                } else if is("pages") {
+                    let all: Vec<String> = (0..8).map(|n| format!("{n}\ta\tb\n").repeat(500)).collect();
+                    let (page, size) = (all[0].clone(), all[0].len());
+                    // The first attempt's engine dies with its pages.
+                    if is("lost") && first {
+                        let _ = write!(out, "{id} HIT fetches=8 {size}\r\n{page}\r\n");
+                        return;
+                    }
+                    pages.insert(id.into(), all);
+                    format!("{id} INFO res=p,figure=0.5 0\r\n\r\n{id} HIT fetches=8 {size}\r\n{page}\r\n")
+                } else {
+                    format!("{id} HIT fetches=1 6\r\n1\ta\tb\n\r\n")
+                }
+            }
+            _ => panic!("the coordinator wrote {line:?}"),
+        };
+        // In small pieces: the other side must not count on whole lines.
+        for piece in answer.as_bytes().chunks(700) {
+            if out.write_all(piece).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A list of engines as a stream of events; each connection gets what has come behind its last.
+struct List {
+    addr: SocketAddr,
+    events: Arc<Mutex<(Vec<String>, Vec<Sender<()>>)>>,
+    asked: Arc<Mutex<Vec<String>>>,
+}
+
+impl List {
+    fn start() -> List {
+        let events: Arc<Mutex<(Vec<String>, Vec<Sender<()>>)>> = Arc::default();
+        let asked: Arc<Mutex<Vec<String>>> = Arc::default();
+        let (held, heads) = (events.clone(), asked.clone());
+        let addr = stand_in(move |mut stream| {
+            let mut head = String::new();
+            let mut input = BufReader::new(stream.try_clone().unwrap());
+            while !head.ends_with("\r\n\r\n") {
+                if input.read_line(&mut head).unwrap_or(0) == 0 {
+                    return;
+                }
+            }
+            let last = head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap().to_string();
+            let mut told: usize = last.parse().unwrap();
+            heads.lock().unwrap().push(last);
+            let (wake, woken) = channel();
+            held.lock().unwrap().1.push(wake);
+            let _ =
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n");
+            loop {
+                let new: Vec<String> = held.lock().unwrap().0.iter().skip(told).cloned().collect();
+                for event in new {
+                    told += 1;
+                    let text = format!("id: {told}\ndata: {event}\n\n");
+                    if stream.write_all(text.as_bytes()).is_err() || event.contains("\"hang up\"") {
+                        return;
+                    }
+                }
+                let comment = std::time::Duration::from_secs(1);
+                let _ = woken.recv_timeout(comment);
+                if stream.write_all(b": still here\n\n").is_err() {
+                    return;
+                }
+            }
+        });
+        List { addr, events, asked }
+    }
+
+    fn tell(&self, instances: &[String], more: &str) {
+        let mut events = self.events.lock().unwrap();
+        let index = events.0.len() + 1;
+        let all = instances.join(",");
+        let event = format!(
+            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{all}]}}{more}}}"
+        );
+        events.0.push(event);
+        events.1.iter().for_each(|wake| drop(wake.send(())));
+    }
+}
+
+struct Site {
+    coordinator: Coordinator,
+    ledger: Arc<Ledger>,
+    engines: Vec<SocketAddr>,
+    list: List,
+}
+
+impl Site {
+    fn start(engines: usize) -> Site {
+        let ledger = Arc::new(Ledger::default());
+        let engine = |n| {
+            let ledger = ledger.clone();
+            stand_in(move |stream| serve(stream, n, &ledger))
+        };
+        let engines: Vec<SocketAddr> = (0..engines).map(engine).collect();
+        let list = List::start();
+        let config = appliance()
+            .replace("127.0.0.1:8123", "127.0.0.1:0")
+            .replace("\"front\": \"clickhouse\"", &format!("\"coordinator\": \"{}\"", list.addr))
+            .replace("\"membership\"", "\"unknown\"");
+        let site = Site { ledger, list, coordinator: Coordinator::start(&config), engines };
+        site.tell(&vec!["ready"; site.engines.len()], "");
+        site.coordinator.wait_until_ready();
+        site
+    }
+
+    fn tell(&self, phases: &[&str], more: &str) {
+        let lines = self.engines.iter().zip(phases).enumerate();
+        let lines: Vec<String> = lines.map(|(n, (a, phase))| instance(&format!("e{n}"), *a, phase)).collect();
+        self.list.tell(&lines, more);
+    }
+
+    fn ask(&self, class: &str, patience: u32, statement: &str) -> Answer {
+        let id = driftfront::net::hash(statement.as_bytes());
+        let headers = format!("X-Call-Id: {id:016x}\r\nX-Patience-Ms: {patience}\r\nX-Entity: 0a\r\n");
+        post(self.coordinator.addr, &format!("/ops/{class}"), &headers, statement)
+    }
+}
+
+#[test]
+fn results_come_whole_with_all_their_pages() {
+    let site = Site::start(2);
+    let one = site.ask("lookup", 2500, "SELECT 1");
+    assert_eq!((one.status, one.text().as_str()), (200, "{\"data\":[[\"1\",\"a\",\"b\"]]}"));
+    let rows: Vec<String> =
+        (0..8).flat_map(|n| std::iter::repeat_n(format!("[\"{n}\",\"a\",\"b\"]"), 500)).collect();
+    let whole = format!("{{\"data\":[{}]}}", rows.join(","));
+    assert_eq!(site.ask("report", 15_000, "SELECT pages").text(), whole);
+    // Pages are lost with their engine: a read may be run again, before any row was passed on.
+    assert_eq!(site.ask("report", 15_000, "SELECT pages lost").text(), whole);
+    assert_eq!(site.ledger.of("pages lost").len(), 2);
+    assert_eq!(site.ask("member-load", 15_000, "INSERT pages lost").status, 500);
+    site.ledger.assert_rules(4);
+}
+
+#[test]
+fn each_end_of_an_attempt_leads_where_its_class_allows() {
+    let site = Site::start(3);
+    for (word, load) in [("full", 200), ("fault", 500), ("dies", 500), ("nonsense", 500)] {
+        assert_eq!(site.ask("lookup", 2500, &format!("SELECT {word}")).status, 200, "{word}");
+        assert_eq!(site.ask("member-load", 25_000, &format!("INSERT {word}")).status, load, "{word}");
+    }
+    site.ledger.assert_rules(8);
+}
+
+#[test]
+fn a_silent_engine_costs_one_answer_in_time_and_none_that_is_untrue() {
+    let site = Site::start(2);
+    let load = site.ask("member-load", 700, "INSERT silent");
+    // It may have run: not a refusal.
+    assert_eq!((load.status, load.text().as_str()), (500, "{\"error\":\"Internal\"}"));
+    let read = site.ask("lookup", 300, "SELECT silent");
+    assert_eq!((read.status, read.header("X-Come-Back-Ms").is_some()), (429, true));
+    assert_eq!((site.ledger.of("INSERT").len(), site.ledger.of("SELECT").len()), (1, 1));
+    assert_eq!(site.coordinator.counter("answers_overdue"), 0);
+}
+
+#[test]
+fn a_client_that_leaves_is_owed_nothing_and_its_key_s_order_stands() {
+    let site = Site::start(1);
+    let head = "POST /ops/member-load HTTP/1.1\r\nX-Call-Id: ab\r\nX-Patience-Ms: 900\r\nX-Entity: 0a\r\n";
+    let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
+    write!(stream, "{head}Content-Length: 13\r\n\r\nINSERT silent").unwrap();
+    site.coordinator.wait_for("attempts_sent", 1);
+    drop(stream);
+    site.coordinator.wait_for("clients_left", 1);
+    // The next of the key has to wait for the end of what is still out, and for the key's rest.
+    assert_eq!(site.ask("member-load", 25_000, "INSERT 2").status, 200);
+    assert_eq!(site.coordinator.counter("attempts_ended{outcome=\"timed_out\"}"), 1);
+}
+
+#[test]
+fn a_broken_list_stream_is_taken_up_behind_its_last_event() {
+    let site = Site::start(2);
+    site.tell(&["ready", "ready"], ",\"x\":\"hang up\"");
+    site.coordinator.wait_for("lists_taken", 3);
+    site.tell(&["draining", "ready"], "");
+    site.coordinator.wait_for("lists_taken", 4);
+    assert_eq!(*site.list.asked.lock().unwrap(), ["0", "2"]);
+    for n in 0..10 {
+        assert_eq!(site.ask("lookup", 2500, &format!("SELECT drained {n}")).status, 200);
+    }
+    assert!(site.ledger.of("drained").iter().all(|e| e.engine == 1));
+}
+
+#[test]
+fn bytes_in_any_pieces_and_pipelined_calls_are_answered_in_turn() {
+    let site = Site::start(1);
+    let mut text = String::new();
+    for n in 0..3 {
+        let head = format!("POST /ops/lookup HTTP/1.1\r\nX-Call-Id: a{n}\r\nX-Patience-Ms: 2500\r\n");
+        text += &format!("{head}Content-Length: 8\r\n\r\nSELECT {n}");
+    }
+    let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
+    stream.set_nodelay(true).unwrap();
+    for byte in text.as_bytes() {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    let mut reader = Default::default();
+    for _ in 0..3 {
+        assert_eq!(read_next(&mut stream, &mut reader).status, 200);
+    }
+    let cut = {
+        let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
+        stream.write_all(&text.as_bytes()[..40]).unwrap();
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        read_answer(&mut stream)
+    };
+    assert_eq!(cut.status, 400);
+    assert_eq!(call(site.coordinator.addr, b"DELETE /ops/lookup HTTP/1.1\r\n\r\n").status, 405);
+}
