--- /dev/null
+++ b/core/tests/model.rs
@@ -0,0 +1,292 @@
+//! Random steps against a model of what a coordinator owes: one final answer for each request, the rules
+//! of its class for each attempt, and an order for each key.
+
+use driftfront_core::{
+    Ask, AttemptKey, Cause, Command, Core, EngineId, Limits, ListKind, Listed, Micros, Phase, Piece,
+    Progress, RequestId,
+};
+use driftfront_settings::json::{parse, Json};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const ENGINES: u64 = 3;
+const LOOKUP: u16 = 0;
+const LOAD: u16 = 2;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Take { load: bool, key: u8, ms: u16 },
+    Pass { ms: u16 },
+    Phase { engine: u8, draining: bool },
+    Write { pick: u8 },
+    Piece { pick: u8 },
+    Serve { pick: u8 },
+    Fail { pick: u8, how: u8 },
+    Leave { pick: u8 },
+    Probed { fine: bool },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let pick = u8::arbitrary(g);
+        match u8::arbitrary(g) % 14 {
+            0..=3 => Step::Take { load: bool::arbitrary(g), key: pick % 3, ms: u16::arbitrary(g) % 3000 },
+            4..=5 => Step::Pass { ms: u16::arbitrary(g) % 700 },
+            6 => Step::Phase { engine: pick, draining: bool::arbitrary(g) },
+            7..=8 => Step::Write { pick },
+            9 => Step::Piece { pick },
+            10 => Step::Serve { pick },
+            11 => Step::Fail { pick, how: u8::arbitrary(g) },
+            12 => Step::Leave { pick },
+            _ => Step::Probed { fine: bool::arbitrary(g) },
+        }
+    }
+}
+
+/// What the model knows of a request.
+struct Known {
+    class: u16,
+    key: u64,
+    deadline: Micros,
+    order: usize,
+    answered: bool,
+    left: bool,
+    pieces: usize,
+    /// An attempt may have run.
+    ran: bool,
+    sends: usize,
+}
+
+struct Model {
+    core: Core,
+    now: Micros,
+    known: BTreeMap<RequestId, Known>,
+    /// Attempts out, and whether each was written.
+    out: BTreeMap<AttemptKey, (EngineId, bool)>,
+    draining: Vec<bool>,
+    probes: Vec<u64>,
+}
+
+impl Model {
+    fn new() -> Model {
+        let text = include_bytes!("../../deploy/appliance.json");
+        let json = parse(text).expect("the example is JSON");
+        let settings = driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
+        let limits = Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000 };
+        let mut model = Model {
+            core: Core::new(settings, limits, 7),
+            now: 1_000_000_000,
+            known: BTreeMap::new(),
+            out: BTreeMap::new(),
+            draining: vec![false; ENGINES as usize],
+            probes: Vec::new(),
+        };
+        model.list();
+        model
+    }
+
+    fn list(&mut self) {
+        let line = |(n, &draining): (usize, &bool)| Listed {
+            engine: EngineId(n as u64),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            phase: if draining { Phase::Draining } else { Phase::Ready },
+            born: None,
+        };
+        let lines: Vec<Listed> = self.draining.iter().enumerate().map(line).collect();
+        self.core.engines(self.now, ListKind::Whole, &lines);
+    }
+
+    fn pick<T: Clone>(from: impl Iterator<Item = T>, pick: u8) -> Option<T> {
+        let all: Vec<T> = from.collect();
+        all.get(usize::from(pick) % all.len().max(1)).cloned()
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Take { load, key, ms } => {
+                let class = if load { LOAD } else { LOOKUP };
+                let budget = Micros::from(ms) * 1000;
+                let ask = Ask {
+                    call: "c".into(),
+                    class,
+                    work: None,
+                    memory_mb: None,
+                    tables: 1,
+                    key: load.then_some(u64::from(key) + 1),
+                    budget,
+                    about: Rc::from([]),
+                    statement: Rc::from(*b"x"),
+                };
+                let order = self.known.len();
+                let id = self.core.take(self.now, ask);
+                let known = Known {
+                    class,
+                    key: u64::from(key) + 1,
+                    deadline: self.now + budget,
+                    order,
+                    answered: false,
+                    left: false,
+                    pieces: 0,
+                    ran: false,
+                    sends: 0,
+                };
+                assert!(self.known.insert(id, known).is_none(), "an id was used twice");
+            }
+            Step::Pass { ms } => {
+                // Timers come due one by one, as the event loop lets them.
+                let end = self.now + Micros::from(ms) * 1000;
+                while let Some(due) = self.core.next_due().filter(|&due| due <= end) {
+                    self.now = self.now.max(due);
+                    self.core.tick(self.now);
+                    self.commands();
+                }
+                self.now = end;
+            }
+            Step::Phase { engine, draining } => {
+                self.draining[usize::from(engine) % ENGINES as usize] = draining;
+                self.list();
+            }
+            Step::Write { pick } => {
+                let unwritten = self.out.iter().filter(|o| !o.1 .1).map(|o| *o.0);
+                if let Some(key) = Model::pick(unwritten, pick) {
+                    self.core.reached(key, Progress::Connected);
+                    let engine = self.out[&key].0;
+                    if self.core.may_write(self.now, key).is_some() {
+                        assert!(!self.draining[engine.0 as usize], "written to an engine that drains");
+                        self.core.reached(key, Progress::WrittenWhole);
+                        self.out.insert(key, (engine, true));
+                        self.known.get_mut(&key.request).expect("known").ran = true;
+                    } else {
+                        self.out.remove(&key);
+                    }
+                }
+            }
+            Step::Piece { pick } => {
+                if let Some(key) = self.written(pick) {
+                    self.core.relay(key, Piece { about: Vec::new(), rows: b"r".to_vec() });
+                }
+            }
+            Step::Serve { pick } => {
+                if let Some(key) = self.written(pick) {
+                    self.out.remove(&key);
+                    self.core.served(self.now, key, &[]);
+                }
+            }
+            Step::Fail { pick, how } => {
+                if let Some(key) = Model::pick(self.out.keys().copied(), pick) {
+                    let (_, written) = self.out[&key];
+                    let cause = match how % 4 {
+                        0 => Cause::Connection("reset".into()),
+                        1 if written => Cause::TurnedAway,
+                        2 if written => Cause::Engine("fault".into()),
+                        3 if written => Cause::Statement("syntax".into()),
+                        _ => Cause::Connection("reset".into()),
+                    };
+                    if cause == Cause::TurnedAway {
+                        self.known.get_mut(&key.request).expect("known").ran = false;
+                    }
+                    self.out.remove(&key);
+                    self.core.attempt_failed(self.now, key, cause);
+                }
+            }
+            Step::Leave { pick } => {
+                let open = self.known.iter().filter(|k| !k.1.answered && !k.1.left).map(|k| *k.0);
+                if let Some(id) = Model::pick(open, pick) {
+                    self.known.get_mut(&id).expect("known").left = true;
+                    self.core.left(self.now, id);
+                }
+            }
+            Step::Probed { fine } => {
+                if let Some(tag) = self.probes.pop() {
+                    let outcome =
+                        if fine { driftfront_core::Outcome::Ok } else { driftfront_core::Outcome::Error };
+                    self.core.probed(self.now, tag, outcome, &[]);
+                }
+            }
+        }
+        self.commands();
+    }
+
+    fn written(&self, pick: u8) -> Option<AttemptKey> {
+        Model::pick(self.out.iter().filter(|o| o.1 .1).map(|o| *o.0), pick)
+    }
+
+    fn commands(&mut self) {
+        while let Some(command) = self.core.command() {
+            match command {
+                Command::Send(key, engine) => self.sent(key, engine),
+                Command::Abandon(key, _) => drop(self.out.remove(&key)),
+                Command::Probe(_, tag) => self.probes.push(tag),
+                Command::Relay(id, _) => {
+                    let known = self.known.get_mut(&id).expect("known");
+                    assert!(!known.answered && !known.left, "a piece behind the end");
+                    known.pieces += 1;
+                }
+                Command::Refuse(id, _) => {
+                    let known = &self.known[&id];
+                    assert_eq!(known.pieces, 0, "refused behind a piece");
+                    assert!(known.class == LOOKUP || !known.ran, "refused, though it may have run");
+                    self.answered(id);
+                }
+                Command::Fail(id, _) => {
+                    assert_eq!(self.known[&id].pieces, 0, "failed as if nothing had been passed on");
+                    self.answered(id);
+                }
+                Command::Break(id, _) => {
+                    assert!(self.known[&id].pieces > 0, "nothing there to break");
+                    self.answered(id);
+                }
+                Command::Finish(id) => self.answered(id),
+                Command::Forget(_) | Command::Log(_) => {}
+            }
+        }
+    }
+
+    fn sent(&mut self, key: AttemptKey, engine: EngineId) {
+        assert!(!self.draining[engine.0 as usize], "sent to an engine that drains");
+        assert!(self.out.keys().all(|o| o.request != key.request), "two attempts at once");
+        let known = &self.known[&key.request];
+        assert!(!known.answered && !known.left && known.pieces == 0, "sent behind the end");
+        assert!(known.sends < 6, "a seventh attempt");
+        assert!(known.class == LOOKUP || !known.ran, "a load sent again, though it may have run");
+        if known.class == LOAD {
+            let same = |k: &&Known| k.class == LOAD && k.key == known.key && k.order < known.order;
+            assert!(self.known.values().filter(same).all(|k| k.answered || k.left), "out of its key's order");
+            let out = self.out.keys().map(|o| &self.known[&o.request]);
+            assert!(out.filter(|k| k.class == LOAD).all(|k| k.key != known.key), "two of a key at once");
+        }
+        self.known.get_mut(&key.request).expect("known").sends += 1;
+        self.out.insert(key, (engine, false));
+    }
+
+    fn answered(&mut self, id: RequestId) {
+        let known = self.known.get_mut(&id).expect("known");
+        assert!(!known.answered && !known.left, "a second answer");
+        assert!(self.now <= known.deadline, "too late");
+        known.answered = true;
+    }
+}
+
+fn holds(steps: Vec<Step>) -> bool {
+    let mut model = Model::new();
+    for step in &steps {
+        model.step(step);
+    }
+    // Whatever is still open is answered by itself.
+    model.step(&Step::Pass { ms: 3_100 });
+    assert!(model.known.values().all(|k| k.answered || k.left), "no answer");
+    assert_eq!(model.core.open(), 0);
+    let c = model.core.counters();
+    let answers = c.served + c.refused + c.failed + c.broken + c.left;
+    assert_eq!(c.taken, answers);
+    true
+}
+
+#[test]
+fn random_steps_keep_every_promise() {
+    let mut check = QuickCheck::new().tests(400).rng(Gen::from_size_and_seed(250, 20_261_201));
+    check.quickcheck(holds as fn(Vec<Step>) -> bool);
+}
--- /dev/null
+++ b/node/tests/wires.rs
@@ -0,0 +1,312 @@
+//! Wires without sockets: random pieces of bytes and random steps against models of a connection's states.
+
+use driftfront::backs::lines::Lines;
+use driftfront::backs::{Seen, Session, Start};
+use driftfront::members::etcd::Etcd;
+use driftfront::members::stream::Stream;
+use driftfront::members::{Table, Watch};
+use driftfront::net::http::{chunk, Fault, Request, RequestReader, ResponsePart, ResponseReader, LAST_CHUNK};
+use driftfront_core::{Ask, AttemptKey, Cause, ListKind, Phase, RequestId};
+use driftfront_settings::json::Json;
+use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tinyjson::JsonValue;
+
+fn check(test: impl Testable) {
+    QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(60, 20_261_201)).quickcheck(test);
+}
+
+/// Cuts bytes where the numbers say.
+fn cut(bytes: &[u8], cuts: &[u8]) -> Vec<Vec<u8>> {
+    let (mut rest, mut pieces) = (bytes, Vec::new());
+    for &n in cuts {
+        let (piece, after) = rest.split_at(usize::from(n).min(rest.len()));
+        pieces.push(piece.to_vec());
+        rest = after;
+    }
+    pieces.push(rest.to_vec());
+    pieces
+}
+
+#[test]
+fn requests_are_the_same_in_whatever_pieces_they_come() {
+    fn same(bodies: Vec<Vec<u8>>, chunked: Vec<bool>, cuts: Vec<u8>) -> bool {
+        let mut bytes = Vec::new();
+        for (n, body) in bodies.iter().enumerate() {
+            bytes.extend(format!("POST /{n} HTTP/1.1\r\nHost: t\r\n").bytes());
+            if chunked.get(n).copied().unwrap_or(false) {
+                bytes.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+                body.chunks(7).for_each(|piece| bytes.extend(chunk(piece)));
+                bytes.extend(LAST_CHUNK);
+            } else {
+                bytes.extend(format!("Content-Length: {}\r\n\r\n", body.len()).bytes());
+                bytes.extend(body);
+            }
+        }
+        let (mut reader, mut read) = (RequestReader::new(1 << 16), Vec::new());
+        for piece in cut(&bytes, &cuts) {
+            reader.push(&piece);
+            while let Some(request) = reader.next_request().expect("well formed") {
+                read.push(request);
+            }
+        }
+        let fits = |(n, r): (usize, &Request)| r.target == format!("/{n}") && r.body == bodies[n];
+        read.len() == bodies.len() && read.iter().enumerate().all(fits) && !reader.is_within()
+    }
+    check(same as fn(Vec<Vec<u8>>, Vec<bool>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn no_bytes_make_a_reader_panic_or_hold_without_bound() {
+    fn bounded(pieces: Vec<Vec<u8>>) -> bool {
+        let (mut requests, mut responses) = (RequestReader::new(100), ResponseReader::default());
+        responses.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for piece in pieces {
+            requests.push(&piece);
+            responses.push(&piece);
+            while let Ok(Some(_)) = requests.next_request() {}
+            while let Ok(Some(_)) = responses.next_part() {}
+        }
+        true
+    }
+    check(bounded as fn(Vec<Vec<u8>>) -> bool);
+    let fault = |bytes: &[u8]| {
+        let mut reader = RequestReader::new(100);
+        reader.push(bytes);
+        reader.next_request().err()
+    };
+    // Two ways to tell a body's end are how requests are smuggled past a front.
+    let both = b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(fault(both), Some(Fault::Malformed));
+    assert_eq!(
+        fault(b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"),
+        Some(Fault::Malformed)
+    );
+    assert_eq!(fault(b"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n"), Some(Fault::Malformed));
+    assert_eq!(fault(b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), Some(Fault::BodyTooLarge));
+    assert_eq!(fault(&[b'G'; 20_000]), Some(Fault::HeadTooLarge));
+}
+
+/// What an engine or the coordinator does next on a connection in lines.
+#[derive(Clone, Debug)]
+enum Step {
+    Start(u8),
+    Page(u8),
+    Note(u8),
+    End(u8, bool),
+    Stop(u8),
+    Probe,
+    Pong,
+    Nonsense,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let id = u8::arbitrary(g) % 4;
+        match u8::arbitrary(g) % 20 {
+            0..=4 => Step::Start(id),
+            5..=11 => Step::Page(id),
+            12 => Step::Note(id),
+            13..=14 => Step::End(id, bool::arbitrary(g)),
+            15..=16 => Step::Stop(id),
+            17 => Step::Probe,
+            18 => Step::Pong,
+            _ => Step::Nonsense,
+        }
+    }
+}
+
+#[test]
+fn a_connection_in_lines_follows_its_model() {
+    // The model: for each id open, how many of its three pages have come.
+    fn follows(steps: Vec<Step>, cuts: Vec<u8>) -> bool {
+        let mut lines = Lines::new(32, Rc::from(["inflight".to_string()]));
+        let (mut model, mut probes): (BTreeMap<u8, usize>, Vec<u64>) = (BTreeMap::new(), Vec::new());
+        let key = |id: u8| AttemptKey { request: RequestId(u64::from(id)), number: 0 };
+        for (n, step) in steps.iter().enumerate() {
+            let (mut out, mut seen, mut want, mut text) = (Vec::new(), Vec::new(), Vec::new(), String::new());
+            match *step {
+                Step::Start(id) if !model.contains_key(&id) => {
+                    let ask = ask(&format!("c{id}"));
+                    assert!(lines.takes(&ask.call));
+                    lines
+                        .start(&Start { key: key(id), ask: &ask, class: "k", patience: 1_500_999 }, &mut out);
+                    assert_eq!(String::from_utf8_lossy(&out), format!("REQ c{id} kind=k,ms=1500 1\r\nx\r\n"));
+                    model.insert(id, 0);
+                }
+                Step::Start(id) => assert!(!lines.takes(&format!("c{id}"))),
+                Step::Page(id) => {
+                    let come = model.get(&id).copied().unwrap_or(0);
+                    text = match come {
+                        0 => format!("c{id} HIT fetches=3 2\r\n0\n\r\n"),
+                        come => format!("c{id} PART fetch_no={come} 2\r\n{come}\n\r\n"),
+                    };
+                    if model.contains_key(&id) {
+                        want.push(Seen::Begun(key(id)));
+                        model.insert(id, come + 1);
+                    }
+                    if come == 2 {
+                        let rows = b"0\n1\n2\n".to_vec();
+                        let piece = driftfront_core::Piece { about: Vec::new(), rows };
+                        want.extend([Seen::Piece(key(id), piece), Seen::Served(key(id), Vec::new())]);
+                        model.remove(&id);
+                    }
+                }
+                Step::Note(id) => {
+                    text = format!("c{id} INFO res=w,figure=2 0\r\n\r\n");
+                    let note = driftfront_core::Note::WaitsForLoad;
+                    want.extend(model.contains_key(&id).then_some(Seen::Noted(key(id), note)));
+                }
+                Step::End(id, full) => {
+                    text = format!("c{id} {} - 0\r\n\r\n", if full { "SHED" } else { "FAULT" });
+                    let cause = if full { Cause::TurnedAway } else { Cause::Engine("FAULT".into()) };
+                    want.extend(model.remove(&id).map(|_| Seen::Failed(key(id), cause)));
+                }
+                Step::Stop(id) => {
+                    assert!(lines.stop(key(id), &mut out));
+                    let stop = format!("STOP c{id}\r\n");
+                    assert_eq!(out, if model.remove(&id).is_some() { stop.into_bytes() } else { Vec::new() });
+                }
+                Step::Probe if probes.len() < 8 => {
+                    lines.probe(n as u64, &mut out);
+                    probes.push(n as u64);
+                }
+                Step::Pong if !probes.is_empty() => {
+                    let tag = probes.remove(0);
+                    text = format!("p{tag} PONG gauges=inflight:7;queue:1 0\r\n\r\n");
+                    want.push(Seen::Probed(tag, driftfront_core::Outcome::Ok, vec![7.0]));
+                }
+                Step::Probe | Step::Pong => {}
+                Step::Nonsense => {
+                    // The connection ends: what is open on it is what the model says.
+                    assert!(lines.feed(b"c1 HIT fetches=x\r\n", &mut out, &mut seen).is_err());
+                    let open: Vec<AttemptKey> = model.keys().map(|&id| key(id)).collect();
+                    return lines.open() == open;
+                }
+            }
+            for piece in cut(text.as_bytes(), &cuts) {
+                lines.feed(&piece, &mut out, &mut seen).expect("well formed");
+            }
+            assert_eq!(seen, want, "{step:?}");
+            assert_eq!(lines.is_idle(), model.is_empty() && probes.is_empty());
+        }
+        true
+    }
+    check(follows as fn(Vec<Step>, Vec<u8>) -> bool);
+}
+
+fn ask(call: &str) -> Ask {
+    Ask {
+        call: call.into(),
+        class: 0,
+        work: None,
+        memory_mb: None,
+        tables: 0,
+        key: None,
+        budget: 0,
+        about: Rc::from([]),
+        statement: Rc::from(*b"x"),
+    }
+}
+
+#[test]
+fn the_list_s_events_are_the_same_in_whatever_pieces_they_come() {
+    fn same(numbers: Vec<u8>, cuts: Vec<u8>) -> bool {
+        let mut stream = Stream::new("h".into(), 0);
+        let opened = String::from_utf8(stream.open()).unwrap();
+        assert!(opened.contains("\r\nLast-Event-ID: 0\r\n"));
+        let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        let (mut want, mut last) = (Vec::new(), 0);
+        for n in numbers {
+            let text = format!(": c\n\nid: {n}\r\ndata: {{\"n\":\ndata: {n}}}\n\n");
+            bytes.extend(chunk(text.as_bytes()));
+            // What has been told already comes again after a new connection, and must not count twice.
+            if n > last {
+                (last, want) = (n, [want, vec![f64::from(n)]].concat());
+            }
+        }
+        let (mut updates, mut out) = (Vec::new(), Vec::new());
+        for piece in cut(&bytes, &cuts) {
+            stream.feed(&piece, &mut out, &mut updates).expect("well formed");
+        }
+        let seen: Vec<f64> = updates.iter().filter_map(|u| Json(Some(u)).get("n").number()).collect();
+        assert!(String::from_utf8(stream.open())
+            .unwrap()
+            .contains(&format!("\r\nLast-Event-ID: {last}\r\n")));
+        seen == want
+    }
+    check(same as fn(Vec<u8>, Vec<u8>) -> bool);
+}
+
+fn apply(table: &mut Table, text: &str) -> driftfront::members::Change {
+    let json: JsonValue = format!("{{\"endpoints\":{text}}}").parse().expect("JSON");
+    table.apply(Json(Some(&json))).expect("an update")
+}
+
+#[test]
+fn engines_are_told_apart_by_instance_not_by_address() {
+    let mut table = Table::new(vec!["a".into(), "b".into()], vec!["std-8".into()]);
+    let line = |id: &str, phase: &str, more: &str| {
+        format!("{{\"instanceId\":\"{id}\",\"hostPort\":\"127.0.0.1:9\",\"zone\":\"b\",\"lifecycle\":\"{phase}\"{more}}}")
+    };
+    let old = apply(&mut table, &format!("{{\"reset\":true,\"instances\":[{}]}}", line("x", "ready", "")));
+    assert_eq!((old.kind, old.lines[0].zone, old.lines[0].phase), (ListKind::Whole, 1, Phase::Ready));
+    let lines = [line("x", "gone", ""), line("y", "ready", ""), "{\"bad\":1}".into()].join(",");
+    let new = apply(&mut table, &format!("{{\"instances\":[{lines}]}}"));
+    assert_eq!((new.kind, new.lines.len(), new.lines[0].phase), (ListKind::Changes, 2, Phase::Gone));
+    assert_ne!(new.lines[0].engine, new.lines[1].engine);
+    // A new process of the same instance: old connections lead nowhere.
+    let again =
+        apply(&mut table, &format!("{{\"instances\":[{}]}}", line("y", "ready", ",\"startedAtMs\":5")));
+    assert_eq!((again.restarted.len(), again.lines[0].born), (1, Some(5000)));
+    table.forget(new.lines[0].engine);
+    assert!(table.addr(new.lines[0].engine).is_none() && table.addr(new.lines[1].engine).is_some());
+}
+
+#[test]
+fn etcd_s_keys_become_the_list_by_a_range_and_then_a_watch() {
+    let mut etcd = Etcd::new("h".into(), "/e/".into());
+    let (mut out, mut updates) = (Vec::new(), Vec::new());
+    let asked = String::from_utf8(etcd.open()).unwrap();
+    // "/e/" and "/e0" in base64: all keys under the prefix.
+    assert!(
+        asked.starts_with("POST /v3/kv/range ") && asked.ends_with(r#"{"key":"L2Uv","range_end":"L2Uw"}"#)
+    );
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    // Key "/e/x", value {"hostPort":"127.0.0.1:9"}.
+    let range = r#"{"header":{"revision":"41"},"kvs":[{"key":"L2UveA==","value":"eyJob3N0UG9ydCI6IjEyNy4wLjAuMTo5In0="}]}"#;
+    etcd.feed(answer(range).as_bytes(), &mut out, &mut updates).unwrap();
+    let mut table = Table::new(vec![], vec![]);
+    let change = table.apply(Json(Some(&updates.remove(0)))).unwrap();
+    assert_eq!((change.kind, change.lines[0].phase), (ListKind::Whole, Phase::Ready));
+    assert!(
+        String::from_utf8_lossy(&out).contains("POST /v3/watch ")
+            && out.ends_with(b"\"start_revision\":\"42\"}}")
+    );
+    let event = r#"{"result":{"events":[{"type":"DELETE","kv":{"key":"L2UveA==","mod_revision":"50"}}]}}"#;
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string();
+    let created = chunk(b"{\"result\":{\"created\":true}}\n");
+    etcd.feed(&[head.as_bytes(), &created, &chunk(event.as_bytes())].concat(), &mut out, &mut updates)
+        .unwrap();
+    assert!(updates.is_empty(), "the line is not whole yet");
+    etcd.feed(&chunk(b"\n"), &mut out, &mut updates).unwrap();
+    let change = table.apply(Json(Some(&updates.remove(0)))).unwrap();
+    assert_eq!((change.kind, change.lines[0].phase), (ListKind::Changes, Phase::Gone));
+    // A new connection goes on behind what was seen; a cancelled watch reads the whole range anew.
+    assert!(etcd.open().ends_with(b"\"start_revision\":\"51\"}}"));
+    let cancelled = chunk(b"{\"result\":{\"canceled\":true,\"compact_revision\":\"90\"}}\n");
+    assert!(etcd.feed(&[head.as_bytes(), &cancelled].concat(), &mut out, &mut updates).is_err());
+    assert!(etcd.open().starts_with(b"POST /v3/kv/range "));
+}
+
+#[test]
+fn a_response_without_its_end_is_not_whole() {
+    let mut reader = ResponseReader::default();
+    reader.push(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+    let mut parts = Vec::new();
+    while let Some(part) = reader.next_part().unwrap() {
+        parts.push(part);
+    }
+    assert!(!parts.contains(&ResponsePart::End) && !reader.ends_well());
+}
