Bound engine connections by what they carry; out of descriptors is not the engine's fault

Seen in review: silence was counted at sites without notes too, 16 connections were too few where each carries one query, and a full pool or EMFILE told the module that the engine was unreachable, which shuts it. Now a want of ours ends the attempt as turned away (never ran), an idle client's descriptor goes first, and silence is counted only where notes come. A second request of one name no longer takes the first one's place on a connection. Tests: 30 descriptors and 60 idle clients, engines by etcd, and the console's plain messages.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -91,7 +91,7 @@
 
     /// Reads a text; keys that are not known are skipped.
     pub fn read(text: &[u8]) -> Result<Config, String> {
-        let root = parse(text)?;
+        let root = parse(text).map_err(|e| format!("not JSON: {e}"))?;
         let root = Json(Some(&root));
         let text = |key: &str| root.get(key).text().ok_or(format!("{key} is missing or not a string"));
         let listen = text("listen")?.parse().map_err(|e| format!("listen: {e}"))?;
--- a/node/src/net/link.rs
+++ b/node/src/net/link.rs
@@ -114,6 +114,11 @@
     }
 }
 
+/// Whether an error says that the process (EMFILE, 24) or the system (ENFILE, 23) is out of descriptors.
+pub fn out_of_descriptors(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(23 | 24))
+}
+
 /// Begins a connect; it comes up, or fails, later.
 pub fn connect(addr: SocketAddr) -> io::Result<Rc<TcpStream>> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
--- a/node/src/net/mod.rs
+++ b/node/src/net/mod.rs
@@ -3,7 +3,7 @@
 pub mod http;
 mod link;
 
-pub use link::{connect, Link, ReadEnd};
+pub use link::{connect, out_of_descriptors, Link, ReadEnd};
 
 use driftfront_core::Micros;
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -3,7 +3,7 @@
 use super::{ConnId, Node, Source};
 use crate::fronts::{AnswerWriter, Intake};
 use crate::net::http::{response, Fault, RequestReader};
-use crate::net::{Link, ReadEnd};
+use crate::net::{out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::{Micros, RequestId};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -72,8 +72,8 @@
             let stream = match self.listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // 23 and 24 are ENFILE and EMFILE: the connection stays in the backlog until there is room.
-                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                // The connection stays in the backlog until there is room.
+                Err(e) if out_of_descriptors(&e) => {
                     tracing::warn!("out of descriptors");
                     if self.drop_oldest_idle(now) {
                         continue;
@@ -118,7 +118,7 @@
         client.map_or(0, |c| c.link.backlog())
     }
 
-    fn drop_oldest_idle(&mut self, now: Micros) -> bool {
+    pub(super) fn drop_oldest_idle(&mut self, now: Micros) -> bool {
         let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
         let oldest = idle.min_by_key(|(_, c)| c.used).map(|(&id, _)| id);
         if let Some(id) = oldest {
--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -2,22 +2,26 @@
 
 use super::{ConnId, Node, Source};
 use crate::backs::{Seen, Session, Start};
-use crate::net::{connect, Link, ReadEnd};
+use crate::net::{connect, out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome, Progress};
 use std::collections::VecDeque;
 
-/// Most connections to one engine, and part of all descriptors that engines' connections may hold.
-const PER_ENGINE: usize = 16;
+/// Attempts out on one engine that its connections should carry; the bounds on their number that follow
+/// from how many one carries; and the part of all descriptors that engines' connections may hold.
+const PER_ENGINE: usize = 512;
+const CONNS: (usize, usize) = (16, 64);
 const PART_OF_SOCKETS: usize = 3;
 /// Attempts that wait for one connection.
 const WAITING_MOST: usize = 256;
 /// Part of the engines' idle limit after which a connection is not used again: a request that crosses the
 /// engine's close would be lost without proof that it never ran.
 const IDLE_PART: f64 = 0.6;
-/// With work out, notes come each second; after this long without a byte a connection counts as silent, and
-/// new work goes by another one, whose connect shows at once whether the engine can be reached.
-const SILENT: Micros = 1_600_000;
+/// Where notes come with work out, a connection that is this much late with them counts as silent: new work
+/// goes by another one, whose connect shows at once whether the engine can be reached.
+const NOTE_LATE: Micros = 600_000;
+/// Where no notes come, only a probe that nothing answers for this long shows that.
+const PROBE_LATE: Micros = 1_600_000;
 /// Bytes passed on that a client may leave unread.
 const BACKLOG_MOST: usize = 256 * 1024;
 const READ_AT_ONCE: usize = 64 * 1024;
@@ -56,8 +60,13 @@
         self.waiting.len() + self.session.open().len()
     }
 
-    fn is_silent(&self, now: Micros) -> bool {
-        self.up && !self.session.is_idle() && now > self.heard.max(self.used) + SILENT
+    fn is_silent(&self, now: Micros, notes: Option<Micros>) -> bool {
+        let late = match notes {
+            Some(every) => every + NOTE_LATE,
+            None if self.session.open().is_empty() => PROBE_LATE,
+            None => return false,
+        };
+        self.up && !self.session.is_idle() && now > self.heard.max(self.used) + late
     }
 
     fn is_stale(&self, now: Micros, idle: Micros) -> bool {
@@ -67,13 +76,13 @@
 
 impl Node {
     /// A connection with room, the least loaded one; else a new one.
-    fn engine_conn(&mut self, now: Micros, engine: EngineId, call: Option<&str>) -> Result<ConnId, String> {
-        let idle = self.config.idle;
+    fn engine_conn(&mut self, now: Micros, engine: EngineId, call: Option<&str>) -> Result<ConnId, Cause> {
+        let (idle, notes) = (self.config.idle, self.config.settings.notes_every);
         let fits = |c: &EngineConn| {
             c.engine == engine
                 && !c.retired
                 && !c.session.is_spent()
-                && !c.is_silent(now)
+                && !c.is_silent(now, notes)
                 && !c.is_stale(now, idle)
                 && c.load() < c.session.most()
                 && call.is_none_or(|call| c.session.takes(call))
@@ -82,21 +91,36 @@
         if let Some((&id, _)) = best.min_by_key(|(_, c)| (!c.up, c.load())) {
             return Ok(id);
         }
-        if self.engines.values().filter(|c| c.engine == engine && !c.retired).count() >= PER_ENGINE
+        let addr = self.addr(engine).ok_or(Cause::Connection("no address known".into()))?;
+        let session = self.session(addr);
+        let most = (PER_ENGINE / session.most()).clamp(CONNS.0, CONNS.1);
+        if self.engines.values().filter(|c| c.engine == engine && !c.retired).count() >= most
             || self.engines.len() >= self.config.sockets / PART_OF_SOCKETS
         {
-            // Rather than wait without bound for a place, the attempt goes elsewhere.
-            return Err("no connection free".into());
+            // Rather than wait without bound for a place, the attempt goes elsewhere; the engine is well.
+            return Err(Cause::TurnedAway);
         }
-        let addr = self.addr(engine).ok_or("no address known")?;
-        let stream = connect(addr).map_err(|e| e.to_string())?;
+        let stream = match connect(addr) {
+            // Out of descriptors: an idle client's is worth less.
+            Err(e) if out_of_descriptors(&e) && self.drop_oldest_idle(now) => connect(addr),
+            other => other,
+        };
+        let stream = stream.map_err(|e| {
+            let ours = out_of_descriptors(&e);
+            // Our own want says nothing of the engine.
+            if ours {
+                Cause::TurnedAway
+            } else {
+                Cause::Connection(e.to_string())
+            }
+        })?;
         let id = self.conn_id();
-        let token = self.register(stream.clone(), Source::Engine(id))?;
+        let token = self.register(stream.clone(), Source::Engine(id)).map_err(|_| Cause::TurnedAway)?;
         let conn = EngineConn {
             engine,
             link: Link::new(stream),
             token: Some(token),
-            session: self.session(addr),
+            session,
             up: false,
             connect_by: now + self.config.connect_timeout,
             waiting: VecDeque::new(),
@@ -114,13 +138,14 @@
         let Some(call) = self.core.taken(key.request).map(|t| t.ask.call.clone()) else { return };
         match self.engine_conn(now, engine, Some(&call)) {
             Ok(id) => self.queue_work(now, id, Work::Attempt(key)),
-            Err(why) => self.attempt_failed(now, key, Cause::Connection(why)),
+            Err(cause) => self.attempt_failed(now, key, cause),
         }
     }
 
     pub(super) fn probe(&mut self, now: Micros, engine: EngineId, tag: u64) {
         match self.engine_conn(now, engine, None) {
             Ok(id) => self.queue_work(now, id, Work::Probe(tag)),
+            Err(Cause::TurnedAway) => self.core.probed(now, tag, Outcome::Moot, &[]),
             Err(_) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
         }
     }
@@ -132,8 +157,8 @@
             return self.engine_write(now, id);
         }
         match work {
-            Work::Attempt(key) => self.attempt_failed(now, key, Cause::Connection("line too long".into())),
-            Work::Probe(tag) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
+            Work::Attempt(key) => self.attempt_failed(now, key, Cause::TurnedAway),
+            Work::Probe(tag) => self.core.probed(now, tag, Outcome::Moot, &[]),
         }
     }
 
@@ -199,6 +224,11 @@
                     self.core.reached(key, Progress::Connected);
                     let Some(patience) = self.core.may_write(now, key) else { continue };
                     let Some(taken) = self.core.taken(key.request) else { continue };
+                    if !conn.session.takes(&taken.ask.call) {
+                        // A second request of the same name came in while the connection came up.
+                        self.attempt_failed(now, key, Cause::TurnedAway);
+                        continue;
+                    }
                     let class = self.config.classes.names.get(usize::from(taken.ask.class));
                     let start =
                         Start { key, ask: taken.ask, class: class.map_or("", String::as_str), patience };
@@ -325,13 +355,13 @@
     }
 
     pub(super) fn sweep_engines(&mut self, now: Micros) {
-        let idle = self.config.idle;
+        let (idle, notes) = (self.config.idle, self.config.settings.notes_every);
         let over = |c: &EngineConn| {
             if !c.up {
                 return (now > c.connect_by).then_some("connect timed out");
             }
             // A probe that no answer comes to must not hold its connection for ever.
-            if c.is_silent(now) && c.session.open().is_empty() && c.waiting.is_empty() {
+            if c.is_silent(now, notes) && c.session.open().is_empty() && c.waiting.is_empty() {
                 return Some("silent");
             }
             let unused = c.is_idle() && (c.retired || c.session.is_spent() || c.is_stale(now, idle));
--- a/node/tests/clickhouse.rs
+++ b/node/tests/clickhouse.rs
@@ -114,6 +114,10 @@
 
 impl Site {
     fn start(engines: usize) -> Site {
+        Site::limited(engines, 1024)
+    }
+
+    fn limited(engines: usize, descriptors: usize) -> Site {
         let ledger = Arc::new(Ledger::default());
         let engine = |n| {
             let ledger = ledger.clone();
@@ -124,7 +128,7 @@
         let config = appliance()
             .replace("127.0.0.1:8123", "127.0.0.1:0")
             .replace("deploy/engines.json", &list.display().to_string());
-        let site = Site { ledger, list, coordinator: Coordinator::start(&config), engines };
+        let site = Site { ledger, list, coordinator: Coordinator::limited(&config, descriptors), engines };
         site.write_list(&vec!["ready"; site.engines.len()]);
         site.coordinator.wait_until_ready();
         site
@@ -312,3 +316,94 @@
     assert!(read_answer(&mut stream).status >= 400);
     assert!(site.coordinator.wait().success());
 }
+
+#[test]
+fn out_of_descriptors_idle_clients_make_room_and_the_rest_is_served() {
+    let site = Site::limited(1, 30);
+    let idle: Vec<TcpStream> = (0..60).map(|_| TcpStream::connect(site.coordinator.addr).unwrap()).collect();
+    for n in 0..5 {
+        assert_eq!(site.query(&format!("SELECT {n}")).status, 200);
+    }
+    drop(idle);
+    site.ledger.assert_rules(5);
+}
+
+#[test]
+fn engines_come_and_go_by_etcd() {
+    use base64::engine::general_purpose::STANDARD;
+    use base64::Engine as _;
+    let ledger = Arc::new(Ledger::default());
+    let seen = ledger.clone();
+    let engine = stand_in(move |stream| serve(stream, 0, &seen));
+    let (told, tell) = std::sync::mpsc::channel::<()>();
+    let tell = std::sync::Mutex::new(tell);
+    let key = STANDARD.encode("/uni/e0");
+    let etcd = stand_in(move |mut stream| {
+        let mut reader = RequestReader::new(4096);
+        let mut bytes = [0; 4096];
+        loop {
+            while let Some(request) = reader.next_request().unwrap() {
+                if request.target == "/v3/kv/range" {
+                    let value = STANDARD.encode(instance("e0", engine, "ready"));
+                    let kvs = format!("[{{\"key\":\"{key}\",\"value\":\"{value}\"}}]");
+                    let body = format!("{{\"header\":{{\"revision\":\"5\"}},\"kvs\":{kvs}}}");
+                    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                        .unwrap();
+                    continue;
+                }
+                assert_eq!(request.target, "/v3/watch");
+                let _ = tell.lock().unwrap().recv();
+                let kv = format!("{{\"key\":\"{key}\",\"mod_revision\":\"6\"}}");
+                let event = format!("{{\"result\":{{\"events\":[{{\"type\":\"DELETE\",\"kv\":{kv}}}]}}}}\n");
+                write!(stream, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunk(&event))
+                    .unwrap();
+            }
+            match stream.read(&mut bytes) {
+                Ok(n) if n > 0 => reader.push(&bytes[..n]),
+                _ => return,
+            }
+        }
+    });
+    let config = appliance()
+        .replace("127.0.0.1:8123", "127.0.0.1:0")
+        .replace("\"file\": \"deploy/engines.json\"", &format!("\"etcd\":\"{etcd}\",\"prefix\":\"/uni/\""));
+    let coordinator = Coordinator::start(&config);
+    coordinator.wait_until_ready();
+    assert_eq!(post(coordinator.addr, "/", "", "SELECT 1").status, 200);
+    told.send(()).unwrap();
+    coordinator.wait_for("lists_taken", 3);
+    assert_eq!(post(coordinator.addr, "/?max_execution_time=1", "", "SELECT gone").status, 429);
+    assert_eq!((ledger.of("SELECT 1").len(), ledger.of("gone").len()), (1, 0));
+}
+
+#[test]
+fn the_console_says_plainly_what_is_wrong() {
+    let run = |args: &[&str]| {
+        let out = std::process::Command::new(env!("CARGO_BIN_EXE_driftfront"))
+            .args(args)
+            .env_remove("LB_CONFIG")
+            .output()
+            .unwrap();
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.success(), String::from_utf8(text).unwrap())
+    };
+    let site = Site::start(1);
+    let (fine, text) = run(&["counters", "--at", &site.coordinator.addr.to_string()]);
+    assert!(fine && text.contains("requests_taken 0\n"));
+    assert!(run(&["version"]).0 && run(&["--help"]).0);
+    for (config, word) in [
+        ("{", "JSON"),
+        ("{\"listen\":\"127.0.0.1:0\",\"settings\":{\"Zone\":0}}", "settings: Profiles"),
+        ("{\"listen\":\"here\",\"settings\":{}}", "listen"),
+        (&appliance().replace("\"clickhouse\",", "\"other\","), "front: unknown: other"),
+        (&appliance().replace("\"write\": \"member-load\"", "\"write\": \"x\""), "clickhouse.write"),
+    ] {
+        let path = file(config);
+        for command in ["check", "serve"] {
+            let (fine, text) = run(&[command, "--config", &path.display().to_string()]);
+            assert!(!fine && text.contains(word) && !text.contains("panic"), "{text}");
+        }
+        std::fs::remove_file(path).unwrap();
+    }
+    assert!(!run(&["serve"]).0 && !run(&["dance"]).0 && !run(&["version", "more"]).0);
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -37,9 +37,15 @@
 
 impl Coordinator {
     pub fn start(config: &str) -> Coordinator {
+        Coordinator::limited(config, 1024)
+    }
+
+    /// One that may hold only so many descriptors.
+    pub fn limited(config: &str, descriptors: usize) -> Coordinator {
         let path = file(config);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_driftfront"))
-            .args(["serve", "--config"])
+        let shell = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
+        let mut child = Command::new("sh")
+            .args(["-c", &shell, env!("CARGO_BIN_EXE_driftfront")])
             .arg(&path)
             .stderr(Stdio::piped())
             .spawn()
