Take pipelined requests in a loop: thousands of them ended the program on its stack

Seen in review, then shown by a test: 5,000 pipelined calls that are refused at once ended the program, since each answer took the next request a few frames deeper (clients.rs: answer, next_request, carry_out). Now a connection's work and the core's commands are each carried out at one place on the stack; a panic resets both. The test fails on the commit before with the connection gone, and passes now.

--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -38,6 +38,8 @@
     /// Reading stopped with more to come.
     more: bool,
     continued: bool,
+    /// Being worked on further up the stack.
+    busy: bool,
     used: Micros,
 }
 
@@ -101,6 +103,7 @@
                         shut: false,
                         more: true,
                         continued: false,
+                        busy: false,
                         used: now,
                     };
                     self.clients.insert(id, client);
@@ -145,8 +148,24 @@
         self.resume_engines(now);
     }
 
-    /// Writes and reads as far as both go.
+    /// Works on a connection, unless that is going on further up the stack: an answer given at once must not
+    /// begin the next pipelined request inside the one before, each some frames deeper.
     fn client_work(&mut self, now: Micros, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id).filter(|c| !c.busy) else { return };
+        client.busy = true;
+        self.client_loop(now, id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.busy = false;
+        }
+    }
+
+    /// After a panic nothing is being worked on.
+    pub(super) fn no_client_is_busy(&mut self) {
+        self.clients.values_mut().for_each(|c| c.busy = false);
+    }
+
+    /// Writes, takes requests and reads, as far as all three go.
+    fn client_loop(&mut self, now: Micros, id: ConnId) {
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
             let flushed = match client.link.flush() {
@@ -158,8 +177,15 @@
                 client.used = now;
                 let _ = client.link.socket().shutdown(Shutdown::Write);
             }
-            let within = client.reader.held() <= AHEAD_MOST || client.current.is_none();
-            if !client.more || !within || !flushed && client.current.is_none() {
+            // Who does not read its answers is asked for no more requests.
+            if !flushed && client.current.is_none() {
+                return;
+            }
+            if self.next_request(now, id) {
+                continue;
+            }
+            let Some(client) = self.clients.get_mut(&id) else { return };
+            if !client.more || client.current.is_some() && client.reader.held() > AHEAD_MOST {
                 return;
             }
             let mut bytes = Vec::new();
@@ -173,9 +199,10 @@
                     client.used = now;
                 }
                 client.reader.push(&bytes);
-                self.next_request(now, id);
             }
             if end == ReadEnd::Closed {
+                // What came whole before that is not wanted any more, but what is malformed is told.
+                while self.next_request(now, id) {}
                 return self.client_ended(now, id);
             }
         }
@@ -192,51 +219,53 @@
         self.drop_client(now, id);
     }
 
-    /// Takes requests off the reader as long as none is open.
-    fn next_request(&mut self, now: Micros, id: ConnId) {
-        loop {
-            let Some(client) = self.clients.get_mut(&id) else { return };
-            if client.current.is_some() || client.close {
-                return;
-            }
-            let request = match client.reader.next_request() {
-                Ok(Some(request)) => request,
-                Ok(None) => {
-                    if client.reader.expects_continue() && !client.continued {
-                        client.continued = true;
-                        client.link.push(b"HTTP/1.1 100 Continue\r\n\r\n");
-                        let _ = client.link.flush();
-                    }
-                    return;
-                }
-                Err(fault) => return self.client_fault(now, id, fault),
-            };
-            client.continued = false;
-            client.close = request.close;
-            client.used = now;
-            match self.front.intake(request, now) {
-                Intake::Reply(bytes) => self.reply(id, &bytes),
-                Intake::Ready => {
-                    let ready = self.core.has_engines() && self.stop_at.is_none();
-                    self.reply(id, &response(if ready { 200 } else { 503 }, &[], b"", false));
-                }
-                Intake::Counters => {
-                    let text = self.counters();
-                    let head = [("Content-Type", "text/plain; charset=utf-8")];
-                    self.reply(id, &response(200, &head, text.as_bytes(), false));
+    /// Takes the next request off the reader, if none is open; true if one was there.
+    fn next_request(&mut self, now: Micros, id: ConnId) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        if client.current.is_some() || client.close || client.reader.held() == 0 {
+            return false;
+        }
+        let request = match client.reader.next_request() {
+            Ok(Some(request)) => request,
+            Ok(None) => {
+                if client.reader.expects_continue() && !client.continued {
+                    client.continued = true;
+                    client.link.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    let _ = client.link.flush();
                 }
-                Intake::Take(ask, writer) => {
-                    let (call, class, budget) = (ask.call.clone(), ask.class, ask.budget);
-                    let request = self.core.take(now, ask);
-                    tracing::debug!(request = request.0, conn = id, %call, class, budget, "taken");
-                    self.asking.insert(request, id);
-                    if let Some(client) = self.clients.get_mut(&id) {
-                        client.current = Some((request, writer));
-                    }
-                    self.carry_out();
+                return false;
+            }
+            Err(fault) => {
+                self.client_fault(now, id, fault);
+                return true;
+            }
+        };
+        client.continued = false;
+        client.close = request.close;
+        client.used = now;
+        match self.front.intake(request, now) {
+            Intake::Reply(bytes) => self.reply(id, &bytes),
+            Intake::Ready => {
+                let ready = self.core.has_engines() && self.stop_at.is_none();
+                self.reply(id, &response(if ready { 200 } else { 503 }, &[], b"", false));
+            }
+            Intake::Counters => {
+                let text = self.counters();
+                let head = [("Content-Type", "text/plain; charset=utf-8")];
+                self.reply(id, &response(200, &head, text.as_bytes(), false));
+            }
+            Intake::Take(ask, writer) => {
+                let (call, class, budget) = (ask.call.clone(), ask.class, ask.budget);
+                let request = self.core.take(now, ask);
+                tracing::debug!(request = request.0, conn = id, %call, class, budget, "taken");
+                self.asking.insert(request, id);
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.current = Some((request, writer));
                 }
+                self.carry_out();
             }
         }
+        true
     }
 
     fn reply(&mut self, id: ConnId, bytes: &[u8]) {
@@ -280,7 +309,6 @@
                 // A body that is cut must not look whole, so nothing more may follow it.
                 client.more = false;
             }
-            self.next_request(now, id);
         }
         self.client_work(now, id);
     }
--- a/node/src/node/mod.rs
+++ b/node/src/node/mod.rs
@@ -45,6 +45,8 @@
     table: Table,
     feed: feed::Feed,
     next_sweep: Micros,
+    /// Commands are being carried out.
+    carrying: bool,
     stop_at: Option<Micros>,
 }
 
@@ -84,6 +86,7 @@
             table: Table::new(config.zones.clone(), config.kinds.clone()),
             feed: feed::Feed::new(&config.membership, config.known_index),
             next_sweep: now,
+            carrying: false,
             stop_at: None,
             config,
         };
@@ -138,6 +141,8 @@
         let done = catch_unwind(AssertUnwindSafe(|| work(self))).is_ok();
         if !done {
             tracing::error!("panic in {what}");
+            self.carrying = false;
+            self.no_client_is_busy();
         }
         done
     }
@@ -201,6 +206,10 @@
 
     /// Carries out what the core asks for, until it asks for nothing more.
     fn carry_out(&mut self) {
+        // Further up the stack the rest is being carried out, in order.
+        if std::mem::replace(&mut self.carrying, true) {
+            return;
+        }
         while let Some(command) = self.core.command() {
             let now = self.now;
             match command {
@@ -230,6 +239,7 @@
                 }
             }
         }
+        self.carrying = false;
     }
 
     /// Takes over what the configuration lists.
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -269,3 +269,18 @@
     assert_eq!(cut.status, 400);
     assert_eq!(call(site.coordinator.addr, b"DELETE /ops/lookup HTTP/1.1\r\n\r\n").status, 405);
 }
+
+#[test]
+fn thousands_of_pipelined_calls_do_not_exhaust_the_stack() {
+    let site = Site::start(1);
+    let head = "POST /ops/lookup HTTP/1.1\r\nX-Call-Id: a\r\nX-Patience-Ms: 1\r\nContent-Length: 0\r\n\r\n";
+    let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
+    let mut writing = stream.try_clone().unwrap();
+    let writer = std::thread::spawn(move || writing.write_all(head.repeat(5000).as_bytes()));
+    let mut reader = Default::default();
+    // Each is refused at once, since its client hardly waits; each gets its own answer.
+    for _ in 0..5000 {
+        assert_eq!(read_next(&mut stream, &mut reader).status, 429);
+    }
+    assert!(writer.join().unwrap().is_ok());
+}
