--- a/node/src/node/feed.rs
+++ b/node/src/node/feed.rs
@@ -58,7 +58,8 @@
         if let Some(conn) = &self.feed.conn {
             let most = if conn.up { silence } else { CONNECT_MOST };
             if now > conn.heard + most {
-                self.drop_feed(now, "silent");
+                let why = if conn.up { "nothing heard, taken anew" } else { "connect timed out" };
+                self.drop_feed(now, why);
             }
         }
         if self.feed.conn.is_none() && now >= self.feed.next_try {
