Bad clients: refuse stray bytes, odd fields and twin ids; close what says nothing in 2 s

A Content-Length that is too small ran half a statement (net/http.rs took the surplus for the next request), a patience of 1e300 was believed, and two open requests could share an id. One connection could also hold the loop for as long as it sent.

--- a/core/src/admit.rs
+++ b/core/src/admit.rs
@@ -1,4 +1,4 @@
-//! Stage 2, admit: what the bounds allow goes to the module; the rest is refused at once.
+//! Stage 2, admit: what the bounds allow goes to the module; the rest is answered at once.
 
 use crate::{Core, Due, RequestId};
 use fernlink::interface::{Event, Micros, Query};
@@ -12,6 +12,11 @@
         if self.open > self.limits.open || usize::from(request.ask.class) >= self.classes {
             return self.refuse(id, FULL_ADVICE);
         }
+        // Two open under one name can't be told apart by what engines answer: the later one gets none of it.
+        if self.names.contains_key(&request.ask.call) {
+            return self.fail(id);
+        }
+        self.names.insert(request.ask.call.clone(), id);
         let ask = &request.ask;
         let query = Query {
             id: crate::query(id),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -103,6 +103,8 @@
     limits: Limits,
     classes: usize,
     requests: BTreeMap<RequestId, Request>,
+    /// Names of requests that have no final answer yet; whoever closes one removes its name.
+    names: BTreeMap<Rc<str>, RequestId>,
     open: usize,
     phases: BTreeMap<EngineId, Phase>,
     probes: BTreeMap<u64, EngineId>,
@@ -121,6 +123,7 @@
             controller: Controller::new(settings, seed),
             limits,
             requests: BTreeMap::new(),
+            names: BTreeMap::new(),
             open: 0,
             phases: BTreeMap::new(),
             probes: BTreeMap::new(),
--- a/core/src/relay.rs
+++ b/core/src/relay.rs
@@ -67,6 +67,9 @@
             Some(request) if !request.closed => {
                 request.closed = true;
                 self.open -= 1;
+                if self.names.get(&request.ask.call) == Some(&id) {
+                    self.names.remove(&request.ask.call);
+                }
                 true
             }
             _ => false,
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -16,7 +16,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Take { load: bool, key: u8, ms: u16 },
+    Take { load: bool, key: u8, ms: u16, twin: bool },
     Pass { ms: u16 },
     Phase { engine: u8, draining: bool },
     Write { pick: u8 },
@@ -31,7 +31,10 @@
     fn arbitrary(g: &mut Gen) -> Step {
         let pick = u8::arbitrary(g);
         match u8::arbitrary(g) % 14 {
-            0..=3 => Step::Take { load: bool::arbitrary(g), key: pick % 3, ms: u16::arbitrary(g) % 3000 },
+            0..=3 => {
+                let (load, ms) = (bool::arbitrary(g), u16::arbitrary(g) % 3000);
+                Step::Take { load, key: pick % 3, ms, twin: pick > 220 }
+            }
             4..=5 => Step::Pass { ms: u16::arbitrary(g) % 700 },
             6 => Step::Phase { engine: pick, draining: bool::arbitrary(g) },
             7..=8 => Step::Write { pick },
@@ -47,6 +50,7 @@
 /// What the model knows of a request.
 struct Known {
     class: u16,
+    name: String,
     key: u64,
     deadline: Micros,
     order: usize,
@@ -106,11 +110,13 @@
 
     fn step(&mut self, step: &Step) {
         match *step {
-            Step::Take { load, key, ms } => {
+            Step::Take { load, key, ms, twin } => {
+                let order = self.known.len();
+                let name = if twin { "twin".into() } else { format!("c{order}") };
                 let class = if load { LOAD } else { LOOKUP };
                 let budget = Micros::from(ms) * 1000;
                 let ask = Ask {
-                    call: "c".into(),
+                    call: name.as_str().into(),
                     class,
                     work: None,
                     memory_mb: None,
@@ -120,10 +126,10 @@
                     about: Rc::from([]),
                     statement: Rc::from(*b"x"),
                 };
-                let order = self.known.len();
                 let id = self.core.take(self.now, ask);
                 let known = Known {
                     class,
+                    name,
                     key: u64::from(key) + 1,
                     deadline: self.now + budget,
                     order,
@@ -251,6 +257,8 @@
         let known = &self.known[&key.request];
         assert!(!known.answered && !known.left && known.pieces == 0, "sent behind the end");
         assert!(known.sends < 6, "a seventh attempt");
+        let namesake = |k: &Known| k.name == known.name && k.order < known.order && !k.answered && !k.left;
+        assert!(!self.known.values().any(namesake), "sent under the name of another that is open");
         assert!(known.class == LOOKUP || !known.ran, "a load sent again, though it may have run");
         if known.class == LOAD {
             let same = |k: &&Known| k.class == LOAD && k.key == known.key && k.order < known.order;
--- a/node/src/fronts/clickhouse.rs
+++ b/node/src/fronts/clickhouse.rs
@@ -110,8 +110,8 @@
             ("GET", "/counters") => return Intake::Counters,
             ("GET", "/") if query.is_empty() => return Intake::Reply(response(200, &[], b"Ok.\n", false)),
             ("GET" | "POST", "/") => {}
-            (_, "/") => return Intake::Reply(response(405, &[], b"", false)),
-            _ => return Intake::Reply(response(404, &[], b"There is no such path here.\n", false)),
+            (_, "/") => return Intake::Bad(response(405, &[], b"", false)),
+            _ => return Intake::Bad(response(404, &[], b"There is no such path here.\n", false)),
         }
         let params: Vec<(String, String)> = query
             .split('&')
@@ -121,7 +121,7 @@
             .collect();
         match self.ask(request, params, now) {
             Ok(ask) => Intake::Take(ask, Box::new(Stream { begun: false })),
-            Err(reply) => Intake::Reply(reply),
+            Err(reply) => Intake::Bad(reply),
         }
     }
 }
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -11,6 +11,8 @@
 pub enum Intake {
     /// Answer it at once with these bytes.
     Reply(Vec<u8>),
+    /// It can't be taken: say so with these bytes, and let it wait before it asks anew.
+    Bad(Vec<u8>),
     /// It asks whether the coordinator is ready.
     Ready,
     /// It asks for the counters.
--- a/node/src/fronts/platform.rs
+++ b/node/src/fronts/platform.rs
@@ -1,16 +1,17 @@
 //! The platform's front: a thin one. Statements come as POSTs, results go as JSON.
 
 use super::{AnswerWriter, Classes, Front, Intake};
-use crate::net::hash;
 use crate::net::http::{header, response, Request};
 use crate::sql::table_group;
 use driftfront_core::{Ask, Micros, Piece};
 use std::rc::Rc;
 
-/// Largest statement taken.
-const BODY_MOST: usize = 256 * 1024;
-/// Longest patience believed: an hour.
-const PATIENCE_MOST: f64 = 3_600_000.0;
+/// Largest statement taken: with all connections that may be open, these must fit the smallest memory.
+const BODY_MOST: usize = 64 * 1024;
+/// Longest patience believed, in deadlines of the class, and the largest estimate: no usual client comes near
+/// them, and what can't be a figure must not be planned with.
+const PATIENCE_MOST: f64 = 2.0;
+const FIGURE_MOST: f64 = 1e9;
 /// Requests that share a key are written 60 ms apart, and 250 ms after one on a new connection, while the
 /// client's patience runs from when it meant to send. So a keyed request may come this much late, and its
 /// client leaves that much before the told patience has passed here. It was seen to: 110 to 170 ms; two on
@@ -24,7 +25,8 @@
 }
 
 fn error(status: u16, words: &str) -> Intake {
-    Intake::Reply(response(status, &[], format!("{{\"error\":{}}}", quoted(words)).as_bytes(), false))
+    tracing::debug!(status, "not taken: {words}");
+    Intake::Bad(response(status, &[], format!("{{\"error\":{}}}", quoted(words)).as_bytes(), false))
 }
 
 impl Front for Platform {
@@ -45,29 +47,50 @@
         if request.method != "POST" {
             return error(405, "statements are posted");
         }
-        match ask(request, class) {
+        let deadline = self.classes.patience.get(usize::from(class)).copied().unwrap_or(Micros::MAX);
+        match ask(request, class, deadline) {
             Ok(ask) => Intake::Take(ask, Box::new(Rows::default())),
             Err(words) => error(400, words),
         }
     }
 }
 
-fn ask(request: Request, class: u16) -> Result<Ask, &'static str> {
+/// A word of 16 hex digits, as ids and keys are.
+fn hex16(word: &str) -> Option<u64> {
+    let fits = word.len() == 16 && word.bytes().all(|b| b.is_ascii_hexdigit());
+    fits.then(|| u64::from_str_radix(word, 16).ok()).flatten()
+}
+
+fn ask(request: Request, class: u16, deadline: Micros) -> Result<Ask, &'static str> {
+    // Which of two would be meant can't be told.
+    let fields = ["X-Call-Id", "X-Patience-Ms", "X-Repeat", "X-Weight-Ms", "X-Need-Mb", "X-Entity"];
+    let times = |name: &str| request.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name)).count();
+    if fields.iter().any(|name| times(name) > 1) {
+        return Err("a field stands twice");
+    }
     let field = |name: &str| header(&request.headers, name);
-    // The id becomes a word on the engines' wire: a blank or a line break in it would forge commands.
+    // The id becomes a word on the engines' wire: a blank or a line break in it would forge commands, and an
+    // engine that can't read a line closes the connection with all that is open on it.
     let call = field("X-Call-Id").ok_or("X-Call-Id is missing")?;
-    if call.is_empty() || call.len() > 64 || !call.bytes().all(|b| b.is_ascii_alphanumeric()) {
-        return Err("X-Call-Id is not a word");
+    hex16(call).ok_or("X-Call-Id is no id")?;
+    if field("X-Repeat").is_some_and(|r| r != "1") {
+        return Err("X-Repeat is not 1");
     }
     let number = |name: &str| match field(name).map(str::parse::<f64>) {
         None => Ok(None),
-        Some(Ok(n)) if n.is_finite() && n >= 0.0 => Ok(Some(n)),
+        Some(Ok(n)) if (0.0..=FIGURE_MOST).contains(&n) => Ok(Some(n)),
         Some(_) => Err("a header's number can't be read"),
     };
     let patience = number("X-Patience-Ms")?.ok_or("X-Patience-Ms is missing")?;
+    if patience <= 0.0 || patience * 1000.0 > PATIENCE_MOST * deadline as f64 {
+        return Err("X-Patience-Ms is out of range");
+    }
     let statement = std::str::from_utf8(&request.body).map_err(|_| "the statement is not text")?;
-    let key: Option<u64> =
-        field("X-Entity").map(|k| u64::from_str_radix(k, 16).unwrap_or_else(|_| hash(k.as_bytes())));
+    // Engines answer what they can't use with an error, which would look like a fault of theirs.
+    if statement.trim().is_empty() || statement.chars().any(|c| c.is_control() && !c.is_whitespace()) {
+        return Err("the statement is empty or no text");
+    }
+    let key = field("X-Entity").map(|k| hex16(k).ok_or("X-Entity is no key")).transpose()?;
     let held = if key.is_some() { KEY_HOLD_MS.min(patience / 10.0) } else { 0.0 };
     Ok(Ask {
         call: call.into(),
@@ -76,7 +99,7 @@
         memory_mb: number("X-Need-Mb")?.filter(|&m| m > 0.0),
         tables: table_group(statement),
         key,
-        budget: ((patience.min(PATIENCE_MOST) - held) * 1000.0) as Micros,
+        budget: ((patience - held) * 1000.0) as Micros,
         about: Rc::from([]),
         statement: Rc::from(request.body),
     })
@@ -132,7 +155,9 @@
         let headers = headers.iter().map(|h| (h.0.to_string(), h.1.to_string())).collect();
         let (method, target, body) = ("POST".into(), path.into(), body.as_bytes().to_vec());
         let names: Vec<String> = vec!["lookup".into(), "member-load".into()];
-        let front = Platform { classes: Classes { names: names.into(), patience: Rc::from([]) } };
+        let front = Platform {
+            classes: Classes { names: names.into(), patience: Rc::from([2_500_000, 25_000_000]) },
+        };
         front.intake(Request { method, target, headers, body, close: false }, 0)
     }
 
@@ -147,7 +172,7 @@
 
     fn status(intake: Intake) -> String {
         match intake {
-            Intake::Reply(bytes) => String::from_utf8_lossy(&bytes[9..12]).into(),
+            Intake::Bad(bytes) => String::from_utf8_lossy(&bytes[9..12]).into(),
             _ => "none".into(),
         }
     }
@@ -158,18 +183,34 @@
         let keyed = post("/ops/member-load", &[CALL, patience, ("X-Entity", "7f3a9c21e0b4d655")], "x");
         let ask = taken(keyed);
         assert_eq!((ask.budget, ask.key, ask.class), (24_400_000, Some(0x7f3a_9c21_e0b4_d655), 1));
-        assert_eq!(taken(post("/ops/lookup", &[CALL, patience], "x")).budget, 25_000_000);
+        let lookup = post("/ops/lookup", &[CALL, ("X-Patience-Ms", "2500")], "x");
+        assert_eq!(taken(lookup).budget, 2_500_000);
     }
 
     #[test]
     fn what_cannot_be_a_request_is_answered_at_once() {
-        let patience = ("X-Patience-Ms", "25000");
+        let patience = ("X-Patience-Ms", "2500");
         assert_eq!(status(post("/ops/other", &[CALL, patience], "x")), "404");
         assert_eq!(status(post("/other", &[CALL, patience], "x")), "404");
         assert_eq!(status(post("/ops/lookup", &[patience], "x")), "400");
         assert_eq!(status(post("/ops/lookup", &[CALL], "x")), "400");
-        assert_eq!(status(post("/ops/lookup", &[CALL, ("X-Patience-Ms", "NaN")], "x")), "400");
-        assert_eq!(status(post("/ops/lookup", &[("X-Call-Id", "a STOP b"), patience], "x")), "400");
+        for word in ["a STOP b", "9b1f03aa5c7e2d4", "+b1f03aa5c7e2d41", ""] {
+            assert_eq!(status(post("/ops/lookup", &[("X-Call-Id", word), patience], "x")), "400", "{word}");
+            assert_eq!(status(post("/ops/lookup", &[CALL, patience, ("X-Entity", word)], "x")), "400");
+        }
+        for figure in ["NaN", "inf", "-1", "0", "5001", "1e300", "12 34", ""] {
+            assert_eq!(
+                status(post("/ops/lookup", &[CALL, ("X-Patience-Ms", figure)], "x")),
+                "400",
+                "{figure}"
+            );
+        }
+        for more in [("X-Weight-Ms", "1e10"), ("X-Need-Mb", "-3"), ("X-Repeat", "yes"), CALL] {
+            assert_eq!(status(post("/ops/lookup", &[CALL, patience, more], "x")), "400", "{more:?}");
+        }
+        for statement in ["", " \r\n", "SELECT \0"] {
+            assert_eq!(status(post("/ops/lookup", &[CALL, patience], statement)), "400");
+        }
     }
 
     #[test]
--- a/node/src/net/http.rs
+++ b/node/src/net/http.rs
@@ -5,6 +5,10 @@
 /// Longest head read; a longer one is answered 431.
 pub const HEAD_MOST: usize = 16 * 1024;
 const HEADERS_MOST: usize = 64;
+/// Methods that a client may begin a request with.
+const METHODS: [&str; 7] = ["GET ", "POST ", "DELETE ", "PUT ", "HEAD ", "OPTIONS ", "PATCH "];
+/// An emptied buffer larger than this is given back: one large body must not keep its memory for ever.
+const KEPT: usize = 16 * 1024;
 /// Longest line of a chunk's size, and most bytes of trailers.
 const CHUNK_LINE_MOST: usize = 1024;
 
@@ -163,6 +167,7 @@
         self.used += n;
         if self.used == self.bytes.len() {
             self.bytes.clear();
+            self.bytes.shrink_to(KEPT);
             self.used = 0;
         }
     }
@@ -225,6 +230,19 @@
         self.head.is_some() || self.held() > 0
     }
 
+    /// Whether what stands behind the last request can't begin another: then that one's length was wrong,
+    /// and what was read as its body is not what the client meant.
+    pub fn holds_stray_bytes(&self) -> bool {
+        let rest = self.input.rest();
+        let breaks = rest.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        let word = &rest[breaks..];
+        let begins = |method: &&str| {
+            let most = word.len().min(method.len());
+            word[..most] == method.as_bytes()[..most]
+        };
+        self.head.is_none() && !METHODS.iter().any(|m| begins(&m))
+    }
+
     /// Whether the client waits for "100 Continue" before it sends the body.
     pub fn expects_continue(&self) -> bool {
         let expect = self.head.as_ref().and_then(|h| header(&h.0.headers, "expect"));
@@ -261,7 +279,15 @@
         if request.body.len() > self.body_most {
             return Err(Fault::BodyTooLarge);
         }
-        Ok(if over { self.head.take().map(|h| h.0) } else { None })
+        if !over {
+            return Ok(None);
+        }
+        let request = self.head.take().map(|h| h.0);
+        // Half a statement must not run because the other half came behind a length that is too small.
+        if self.holds_stray_bytes() {
+            return Err(Fault::Malformed);
+        }
+        Ok(request)
     }
 }
 
--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -11,15 +11,24 @@
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::rc::Rc;
 
-/// A connection with no request open may idle for this long.
-const IDLE_MOST: Micros = 20_000_000;
-/// A request must be whole this long after its first byte.
-const READ_MOST: Micros = 10_000_000;
+/// A connection with no request open may idle for this long: usual clients close theirs after 4 s, and
+/// those that keep them for good would take the descriptors of the others.
+const IDLE_MOST: Micros = 6_000_000;
+/// The first request must be whole this long after the connect, a later one this long after its first byte:
+/// whoever is not served is owed a refusal, an error or a close within 3 s.
+const READ_MOST: Micros = 2_000_000;
+/// After a reply to what could not be taken the connection's next request waits this long: who sends the
+/// same again at once would take the others' share of the processor.
+const BAD_PAUSE: Micros = 100_000;
+/// Steps on one connection before the others have their turn.
+const TURN: usize = 16;
 /// After a close of ours the peer's last bytes are read for this long: unread ones would reset the
 /// connection and take our answer with them.
 const LINGER: Micros = 1_000_000;
+/// Bytes that are read and dropped with each sweep then: 60 MB at full speed must not take the processor.
+const LINGER_READ: usize = 128 * 1024;
 /// An answer that the client doesn't read for this long is given up.
-const WRITE_MOST: Micros = 30_000_000;
+const WRITE_MOST: Micros = 10_000_000;
 /// Bytes read ahead while a request is open.
 const AHEAD_MOST: usize = 64 * 1024;
 const READ_AT_ONCE: usize = 64 * 1024;
@@ -40,6 +49,12 @@
     continued: bool,
     /// Being worked on further up the stack.
     busy: bool,
+    /// No request has been taken off it yet.
+    fresh: bool,
+    /// The connect, or the first byte of the request that is being read.
+    begun: Micros,
+    /// No request is taken off it before this.
+    pause_until: Micros,
     used: Micros,
 }
 
@@ -48,8 +63,16 @@
         self.link.backlog() > 0
     }
 
-    fn is_idle(&self) -> bool {
-        self.current.is_none() && !self.is_writing() && !self.reader.is_within()
+    /// How dear a connection is where descriptors are short; `None` if it must stay. Least so are those that
+    /// are closing, then those that never brought a request, however much of one.
+    fn worth(&self) -> Option<u8> {
+        match () {
+            () if self.current.is_some() => None,
+            () if self.shut => Some(0),
+            () if self.fresh => Some(1),
+            () if self.is_writing() || self.reader.is_within() => None,
+            () => Some(2),
+        }
     }
 }
 
@@ -68,7 +91,7 @@
     pub(super) fn accept(&mut self, now: Micros) {
         let most = self.config.sockets * 45 / 100;
         loop {
-            if self.clients.len() >= most && !self.drop_oldest_idle(now) {
+            if self.clients.len() >= most && !self.drop_least_dear(now) {
                 return;
             }
             let stream = match self.listener.accept() {
@@ -77,7 +100,7 @@
                 // The connection stays in the backlog until there is room.
                 Err(e) if out_of_descriptors(&e) => {
                     tracing::warn!("out of descriptors");
-                    if self.drop_oldest_idle(now) {
+                    if self.drop_least_dear(now) {
                         continue;
                     }
                     return;
@@ -104,6 +127,9 @@
                         more: true,
                         continued: false,
                         busy: false,
+                        fresh: true,
+                        begun: now,
+                        pause_until: 0,
                         used: now,
                     };
                     self.clients.insert(id, client);
@@ -121,25 +147,47 @@
         client.map_or(0, |c| c.link.backlog())
     }
 
-    pub(super) fn drop_oldest_idle(&mut self, now: Micros) -> bool {
-        let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
-        let oldest = idle.min_by_key(|(_, c)| c.used).map(|(&id, _)| id);
-        if let Some(id) = oldest {
+    /// Makes room for a connection: the least dear one goes, the oldest of those.
+    pub(super) fn drop_least_dear(&mut self, now: Micros) -> bool {
+        let each = self.clients.iter().filter_map(|(&id, c)| Some((c.worth()?, c.used, id)));
+        let least = each.min().map(|(_, _, id)| id);
+        if let Some(id) = least {
+            self.tell_late(id);
             self.drop_client(now, id);
         }
-        oldest.is_some()
+        least.is_some()
+    }
+
+    /// What a client whose request never became whole may still read before the close.
+    fn tell_late(&mut self, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if !client.shut && client.reader.is_within() && client.current.is_none() {
+            client.link.push(&response(408, &[], b"", true));
+            let _ = client.link.flush();
+        }
     }
 
     pub(super) fn drop_client(&mut self, now: Micros, id: ConnId) {
         let Some(mut client) = self.clients.remove(&id) else { return };
         self.unwatch(client.token.take());
         if let Some((request, _)) = client.current.take() {
-            tracing::debug!(request = request.0, conn = id, "client left");
-            self.asking.remove(&request);
-            self.core.left(now, request);
+            self.left(now, id, request);
+        }
+    }
+
+    /// The connection's open request is not wanted any more, or can't be.
+    fn leave(&mut self, now: Micros, id: ConnId) {
+        if let Some((request, _)) = self.clients.get_mut(&id).and_then(|c| c.current.take()) {
+            self.left(now, id, request);
         }
     }
 
+    fn left(&mut self, now: Micros, id: ConnId, request: RequestId) {
+        tracing::debug!(request = request.0, conn = id, "client left");
+        self.asking.remove(&request);
+        self.core.left(now, request);
+    }
+
     pub(super) fn client_ready(&mut self, now: Micros, id: ConnId) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.more = true;
@@ -166,8 +214,11 @@
 
     /// Writes, takes requests and reads, as far as all three go.
     fn client_loop(&mut self, now: Micros, id: ConnId) {
-        loop {
+        for turn in 0.. {
             let Some(client) = self.clients.get_mut(&id) else { return };
+            if turn >= TURN {
+                return self.later.push(id);
+            }
             let flushed = match client.link.flush() {
                 Ok(flushed) => flushed,
                 Err(_) => return self.drop_client(now, id),
@@ -185,7 +236,8 @@
                 continue;
             }
             let Some(client) = self.clients.get_mut(&id) else { return };
-            if !client.more || client.current.is_some() && client.reader.held() > AHEAD_MOST {
+            let ahead = client.current.is_some() || now < client.pause_until;
+            if !client.more || client.shut || ahead && client.reader.held() > AHEAD_MOST {
                 return;
             }
             let mut bytes = Vec::new();
@@ -194,12 +246,19 @@
                 Err(_) => return self.drop_client(now, id),
             };
             client.more = end == ReadEnd::Enough;
-            if !client.shut && !bytes.is_empty() {
-                if client.reader.held() == 0 {
-                    client.used = now;
+            if !bytes.is_empty() {
+                if !client.reader.is_within() && !client.fresh {
+                    client.begun = now;
                 }
+                client.used = now;
                 client.reader.push(&bytes);
             }
+            if client.current.is_some() && client.reader.holds_stray_bytes() {
+                // The length told was too small: what is out runs half a statement, and must not be served.
+                self.leave(now, id);
+                self.client_fault(now, id, Fault::Malformed);
+                continue;
+            }
             if end == ReadEnd::Closed {
                 // What came whole before that is not wanted any more, but what is malformed is told.
                 while self.next_request(now, id) {}
@@ -222,7 +281,8 @@
     /// Takes the next request off the reader, if none is open; true if one was there.
     fn next_request(&mut self, now: Micros, id: ConnId) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
-        if client.current.is_some() || client.close || client.reader.held() == 0 {
+        let idle = client.reader.held() == 0 || now < client.pause_until;
+        if client.current.is_some() || client.close || idle {
             return false;
         }
         let request = match client.reader.next_request() {
@@ -242,9 +302,13 @@
         };
         client.continued = false;
         client.close = request.close;
-        client.used = now;
+        (client.used, client.begun, client.fresh) = (now, now, false);
         match self.front.intake(request, now) {
             Intake::Reply(bytes) => self.reply(id, &bytes),
+            Intake::Bad(bytes) => {
+                client.pause_until = now + BAD_PAUSE;
+                self.reply(id, &bytes);
+            }
             Intake::Ready => {
                 let ready = self.core.has_engines() && self.stop_at.is_none();
                 self.reply(id, &response(if ready { 200 } else { 503 }, &[], b"", false));
@@ -299,7 +363,7 @@
         let mut bytes = Vec::new();
         let open = write(writer.as_mut(), &mut bytes);
         client.link.push(&bytes);
-        client.used = now;
+        (client.used, client.begun) = (now, now);
         if last {
             tracing::debug!(request = request.0, conn = id, bytes = bytes.len(), "answered");
             client.current = None;
@@ -315,23 +379,36 @@
 
     pub(super) fn sweep_clients(&mut self, now: Micros) {
         let late = |c: &Client| {
-            let age = now.saturating_sub(c.used);
-            if c.shut {
-                return age > LINGER;
+            let idle = now.saturating_sub(c.used);
+            match () {
+                () if c.shut => idle > LINGER,
+                () if c.is_writing() => idle > WRITE_MOST,
+                () if c.current.is_some() => false,
+                () if c.fresh || c.reader.is_within() => now > c.begun + READ_MOST,
+                () => idle > IDLE_MOST,
             }
-            if c.is_writing() {
-                return age > WRITE_MOST;
-            }
-            c.current.is_none() && (age > IDLE_MOST || c.reader.is_within() && age > READ_MOST)
         };
-        let ends: Vec<ConnId> = self.clients.iter().filter(|(_, c)| late(c)).map(|(&id, _)| id).collect();
-        for id in ends {
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
             let Some(client) = self.clients.get_mut(&id) else { continue };
-            if !client.shut && client.reader.is_within() && client.current.is_none() {
-                client.link.push(&response(408, &[], b"", true));
-                let _ = client.link.flush();
+            if late(client) {
+                self.tell_late(id);
+                self.drop_client(now, id);
+            } else if client.shut {
+                let end = client.link.read(&mut Vec::new(), LINGER_READ);
+                if !matches!(end, Ok(ReadEnd::Dry | ReadEnd::Enough)) {
+                    self.drop_client(now, id);
+                }
+            } else if client.pause_until > 0 && now >= client.pause_until {
+                client.pause_until = 0;
+                self.client_work(now, id);
             }
-            self.drop_client(now, id);
+        }
+    }
+
+    /// Goes on with connections that had more to do than one turn holds.
+    pub(super) fn take_turns(&mut self, now: Micros) {
+        for id in std::mem::take(&mut self.later) {
+            self.client_work(now, id);
         }
     }
 
--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -102,7 +102,7 @@
         }
         let stream = match connect(addr) {
             // Out of descriptors: an idle client's is worth less.
-            Err(e) if out_of_descriptors(&e) && self.drop_oldest_idle(now) => connect(addr),
+            Err(e) if out_of_descriptors(&e) && self.drop_least_dear(now) => connect(addr),
             other => other,
         };
         let stream = stream.map_err(|e| {
--- a/node/src/node/mod.rs
+++ b/node/src/node/mod.rs
@@ -45,6 +45,8 @@
     table: Table,
     feed: feed::Feed,
     next_sweep: Micros,
+    /// Clients with more to do than one turn holds.
+    later: Vec<ConnId>,
     /// Commands are being carried out.
     carrying: bool,
     stop_at: Option<Micros>,
@@ -86,6 +88,7 @@
             table: Table::new(config.zones.clone(), config.kinds.clone()),
             feed: feed::Feed::new(&config.membership, config.known_index),
             next_sweep: now,
+            later: Vec::new(),
             carrying: false,
             stop_at: None,
             config,
@@ -118,6 +121,7 @@
                 break;
             }
             let due = self.core.next_due().unwrap_or(u64::MAX).min(self.next_sweep);
+            let due = if self.later.is_empty() { due } else { 0 };
             let wait = Duration::from_micros(due.saturating_sub(self.clock()).min(1_000_000));
             match events.dispatch(wait, &mut self) {
                 Ok(()) => {}
@@ -192,6 +196,7 @@
     fn on_time(&mut self) {
         let now = self.clock();
         self.core.tick(now);
+        self.take_turns(now);
         self.carry_out();
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -175,7 +175,8 @@
 
     fn ask(&self, class: &str, patience: u32, statement: &str) -> Answer {
         let id = driftfront::net::hash(statement.as_bytes());
-        let headers = format!("X-Call-Id: {id:016x}\r\nX-Patience-Ms: {patience}\r\nX-Entity: 0a\r\n");
+        let headers =
+            format!("X-Call-Id: {id:016x}\r\nX-Patience-Ms: {patience}\r\nX-Entity: 000000000000000a\r\n");
         post(self.coordinator.addr, &format!("/ops/{class}"), &headers, statement)
     }
 }
@@ -221,7 +222,7 @@
 #[test]
 fn a_client_that_leaves_is_owed_nothing_and_its_key_s_order_stands() {
     let site = Site::start(1);
-    let head = "POST /ops/member-load HTTP/1.1\r\nX-Call-Id: ab\r\nX-Patience-Ms: 900\r\nX-Entity: 0a\r\n";
+    let head = "POST /ops/member-load HTTP/1.1\r\nX-Call-Id: 00000000000000ab\r\nX-Patience-Ms: 900\r\nX-Entity: 000000000000000a\r\n";
     let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
     write!(stream, "{head}Content-Length: 13\r\n\r\nINSERT silent").unwrap();
     // It must have reached its engine: what is not written yet is withheld when its client leaves.
@@ -251,7 +252,7 @@
 fn a_new_configuration_moves_the_list_and_keeps_all_that_is_open() {
     let mut site = Site::start(2);
     let mut open = TcpStream::connect(site.coordinator.addr).unwrap();
-    open.write_all(b"POST /ops/lookup HTTP/1.1\r\nX-Call-Id: ab\r\n").unwrap();
+    open.write_all(b"POST /ops/lookup HTTP/1.1\r\nX-Call-Id: 00000000000000ab\r\n").unwrap();
     // A bad file is no reason to end, nor to forget where the list is told.
     site.coordinator.reload("{ half a fi");
     site.tell(&["ready", "ready"], "");
@@ -274,7 +275,8 @@
     let site = Site::start(1);
     let mut text = String::new();
     for n in 0..3 {
-        let head = format!("POST /ops/lookup HTTP/1.1\r\nX-Call-Id: a{n}\r\nX-Patience-Ms: 2500\r\n");
+        let head =
+            format!("POST /ops/lookup HTTP/1.1\r\nX-Call-Id: 00000000000000a{n}\r\nX-Patience-Ms: 2500\r\n");
         text += &format!("{head}Content-Length: 8\r\n\r\nSELECT {n}");
     }
     let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
@@ -296,10 +298,59 @@
     assert_eq!(call(site.coordinator.addr, b"DELETE /ops/lookup HTTP/1.1\r\n\r\n").status, 405);
 }
 
+#[test]
+fn what_is_no_request_is_told_so_and_nothing_of_it_reaches_an_engine() {
+    let site = Site::start(1);
+    let fields = "X-Call-Id: 00000000000000ab\r\nX-Patience-Ms: 2500\r\n";
+    let post = |more: &str| format!("POST /ops/lookup HTTP/1.1\r\n{fields}{more}");
+    let hidden = post("Content-Length: 8\r\n\r\nSELECT 9");
+    for (bytes, status) in [
+        (post("Content-Length: 8\r\nContent-Length: 8\r\n\r\nSELECT 1"), 400),
+        (post("Content-Length: -8\r\n\r\nSELECT 1"), 400),
+        (post("Content-Length: 99999999999999999999\r\n\r\nSELECT 1"), 413),
+        (post("Content-Length: 60000000\r\n\r\nSELECT 1"), 413),
+        // The request that it hides in its body must not be taken either.
+        (post(&format!("Content-Length: 8\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}")), 400),
+        // A length that is too small would run half a statement.
+        (post("Content-Length: 8\r\n\r\nSELECT 1 FROM b"), 400),
+        (post("X-Entity: 0a\r\nContent-Length: 8\r\n\r\nSELECT 1"), 400),
+        (post("Content-Length: 0\r\n\r\n"), 400),
+        ("\x16\x03\x01\x02\x00".into(), 400),
+    ] {
+        assert_eq!(call(site.coordinator.addr, bytes.as_bytes()).status, status, "{bytes}");
+    }
+    // What says nothing, or never ends, is closed without being asked: reading ends.
+    let mut quiet = TcpStream::connect(site.coordinator.addr).unwrap();
+    let mut endless = TcpStream::connect(site.coordinator.addr).unwrap();
+    endless.write_all(post("Content-Length: 9\r\n\r\nSELECT 1").as_bytes()).unwrap();
+    assert_eq!(read_answer(&mut endless).status, 408);
+    assert_eq!(quiet.read(&mut [0]).unwrap(), 0);
+    assert_eq!(site.ledger.of("").len(), 0);
+    // The rest of a body whose length was too small may come later: what is out then is not served.
+    let mut late = TcpStream::connect(site.coordinator.addr).unwrap();
+    late.write_all(post("Content-Length: 13\r\n\r\nSELECT silent").as_bytes()).unwrap();
+    site.ledger.wait_for("SELECT silent");
+    // Another under the name of one that is open is not mixed up with it.
+    assert_eq!(call(site.coordinator.addr, post("Content-Length: 8\r\n\r\nSELECT 7").as_bytes()).status, 500);
+    late.write_all(b" FROM b").unwrap();
+    assert_eq!(read_answer(&mut late).status, 400);
+    assert_eq!(site.ledger.of("").len(), 1);
+}
+
+#[test]
+fn a_crowd_that_says_nothing_does_not_keep_usual_clients_out() {
+    let site = Site::start(1);
+    // More than the descriptors that clients may hold; each new one takes the place of the oldest.
+    let crowd: Vec<TcpStream> =
+        (0..600).map(|_| TcpStream::connect(site.coordinator.addr).unwrap()).collect();
+    assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
+    drop(crowd);
+}
+
 #[test]
 fn thousands_of_pipelined_calls_do_not_exhaust_the_stack() {
     let site = Site::start(1);
-    let head = "POST /ops/lookup HTTP/1.1\r\nX-Call-Id: a\r\nX-Patience-Ms: 1\r\nContent-Length: 0\r\n\r\n";
+    let head = "POST /ops/lookup HTTP/1.1\r\nX-Call-Id: 00000000000000ab\r\nX-Patience-Ms: 1\r\nContent-Length: 1\r\n\r\nx";
     let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
     let mut writing = stream.try_clone().unwrap();
     let writer = std::thread::spawn(move || writing.write_all(head.repeat(5000).as_bytes()));
