Bad peers: drop copies, end spoilt connections, keep loads apart, a reset is no restart

Now: copies, pages that are there and unknown ids are dropped; a page must be whole rows of three columns, the first must tell the number of pages; an answer has 0.5 s to become whole, a missing page is asked for again after 0.25 s. A reset is one failure, whatever was out, and a probe on a new connection clears it at once; only an engine out of reach may have restarted. An error counts against an engine once another serves the query; after two it is the query's. What waits on a connection that came up and broke goes by another; an engine's flood has 16 reads a turn. Ruled out: time (CPU at most 0.08 s in a second) and memory (5 of 48 MB).

--- a/core/src/send.rs
+++ b/core/src/send.rs
@@ -30,6 +30,8 @@
     TurnedAway,
     /// The engine answered with an error.
     Engine(String),
+    /// What came as its answer can't be used: it has run, and no other answer will come.
+    Spoilt(String),
     /// The engine left, or the time ran out, before a byte was written.
     Withheld,
     /// The statement itself is at fault: no other engine would do better.
@@ -51,7 +53,7 @@
         match self.cause {
             Cause::TurnedAway => Outcome::Full,
             Cause::Withheld => Outcome::Moot,
-            Cause::Engine(_) => Outcome::Error,
+            Cause::Engine(_) | Cause::Spoilt(_) => Outcome::Error,
             Cause::Statement(_) => Outcome::Cancelled,
             // Not written whole, it cannot have run: the connection's end gives up the written part.
             Cause::Connection(_) if self.progress < Progress::WrittenWhole => Outcome::Unreachable,
@@ -77,6 +79,7 @@
             Cause::TimedOut => write!(f, "{how}: timed out"),
             Cause::TurnedAway => write!(f, "{how}: turned away"),
             Cause::Engine(why) => write!(f, "{how}: engine error: {why}"),
+            Cause::Spoilt(why) => write!(f, "{how}: spoilt answer: {why}"),
             Cause::Withheld => write!(f, "{how}: withheld"),
             Cause::Statement(why) => write!(f, "{how}: statement at fault: {why}"),
         }
--- a/core/tests/model.rs
+++ b/core/tests/model.rs
@@ -184,10 +184,11 @@
             Step::Fail { pick, how } => {
                 if let Some(key) = Model::pick(self.out.keys().copied(), pick) {
                     let (_, written) = self.out[&key];
-                    let cause = match how % 4 {
+                    let cause = match how % 5 {
                         0 => Cause::Connection("reset".into()),
                         1 if written => Cause::TurnedAway,
                         2 if written => Cause::Engine("fault".into()),
+                        4 if written => Cause::Spoilt("noise".into()),
                         3 if written => Cause::Statement("syntax".into()),
                         _ => Cause::Connection("reset".into()),
                     };
--- a/node/src/backs/clickhouse.rs
+++ b/node/src/backs/clickhouse.rs
@@ -2,7 +2,7 @@
 
 use super::{Seen, Session, Start};
 use crate::net::http::{header, ResponseHead, ResponsePart, ResponseReader};
-use driftfront_core::{AttemptKey, Cause, Outcome, Piece};
+use driftfront_core::{AttemptKey, Cause, Micros, Outcome, Piece};
 
 /// Rows held back before the first is passed on: an error found till then can still be answered by a
 /// further attempt or in full.
@@ -133,6 +133,8 @@
     host: String,
     reader: ResponseReader,
     out: Out,
+    /// The name of the query that is out.
+    call: String,
     answer: Answer,
     spent: bool,
 }
@@ -140,14 +142,19 @@
 impl Http {
     /// A conversation with the engine at this address.
     pub fn new(host: String) -> Http {
-        let (reader, answer) = Default::default();
-        Http { host, reader, out: Out::Nothing, answer, spent: false }
+        let (reader, call, answer) = Default::default();
+        Http { host, reader, out: Out::Nothing, call, answer, spent: false }
     }
 
     fn part(&mut self, part: ResponsePart, seen: &mut Vec<Seen>) -> Result<(), String> {
         match part {
             ResponsePart::Head(head) => {
                 self.spent |= head.close;
+                // A second copy of an earlier answer must not be taken for this query's.
+                let named = header(&head.headers, "X-ClickHouse-Query-Id");
+                if matches!(self.out, Out::Query(_)) && named.is_some_and(|id| id != self.call) {
+                    return Err("an answer to another query".into());
+                }
                 self.answer = Answer { head: Some(head), ..Answer::default() };
                 match self.out {
                     Out::Query(key) => seen.push(Seen::Begun(key)),
@@ -220,6 +227,7 @@
         out.extend(head.bytes());
         out.extend_from_slice(&start.ask.statement);
         self.out = Out::Query(start.key);
+        self.call = start.ask.call.to_string();
     }
     fn stop(&mut self, key: AttemptKey, _out: &mut Vec<u8>) -> bool {
         if matches!(self.out, Out::Query(k) if k == key) {
@@ -233,7 +241,20 @@
         out.extend(format!("GET /ping HTTP/1.1\r\nHost: {}\r\n\r\n", self.host).bytes());
         self.out = Out::Probe(tag);
     }
-    fn feed(&mut self, input: &[u8], _out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String> {
+    fn probes(&self) -> Vec<u64> {
+        if let Out::Probe(tag) = self.out {
+            vec![tag]
+        } else {
+            Vec::new()
+        }
+    }
+    fn feed(
+        &mut self,
+        _now: Micros,
+        input: &[u8],
+        _out: &mut Vec<u8>,
+        seen: &mut Vec<Seen>,
+    ) -> Result<(), String> {
         self.reader.push(input);
         while let Some(part) = self.reader.next_part().map_err(|e| format!("bad HTTP: {e:?}"))? {
             self.part(part, seen)?;
--- a/node/src/backs/lines.rs
+++ b/node/src/backs/lines.rs
@@ -1,14 +1,21 @@
 //! The platform's engine wire: lines of words, many requests on one connection.
 
 use super::{Seen, Session, Start};
-use driftfront_core::{AttemptKey, Cause, Note, Outcome, Piece};
+use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome, Piece};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// Longest line, longest page and most pages that an engine may send.
-const LINE_MOST: usize = 8 * 1024;
-const PAGE_MOST: usize = 64 * 1024;
+/// Longest line, longest page and most pages that an engine may send: a page has at most 6,000 bytes, a
+/// result 48,000, and rows are not split.
+const LINE_MOST: usize = 4 * 1024;
+const PAGE_MOST: usize = 6_000;
 const PAGES_MOST: usize = 16;
+/// An answer that has begun on the wire is whole by then, else its rest will never come, and nothing behind
+/// it either.
+const STALL: Micros = 500_000;
+/// A page that has not come by then is asked for again; a result that is not whole by then never will be.
+const PAGE_AGAIN: Micros = 250_000;
+const PAGES_LATE: Micros = 1_200_000;
 
 /// An answer's words.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +47,11 @@
         self.bytes.extend_from_slice(input);
     }
 
+    /// Whether an answer has begun and is not whole.
+    pub fn is_within(&self) -> bool {
+        self.used < self.bytes.len()
+    }
+
     /// The next whole answer, if it is there.
     pub fn next_answer(&mut self) -> Result<Option<Answer>, String> {
         let rest = &self.bytes[self.used..];
@@ -78,6 +90,9 @@
     key: AttemptKey,
     pages: Vec<Option<Vec<u8>>>,
     report: Vec<f64>,
+    /// When page 0 came, and whether missing pages have been asked for again.
+    begun: Micros,
+    again: bool,
 }
 
 /// A connection's conversation in lines.
@@ -87,12 +102,15 @@
     probes: Vec<u64>,
     most: usize,
     gauges: Rc<[String]>,
+    /// The answer on the wire that is not whole began, or went on from a whole one, then.
+    within: Option<Micros>,
 }
 
 impl Lines {
     /// A conversation that carries so many requests; `gauges` names a report's values in order.
     pub fn new(most: usize, gauges: Rc<[String]>) -> Lines {
-        Lines { reader: Reader::default(), open: BTreeMap::new(), probes: Vec::new(), most, gauges }
+        let (reader, open, probes) = Default::default();
+        Lines { reader, open, probes, most, gauges, within: None }
     }
 
     fn report(&self, answer: &Answer) -> Vec<f64> {
@@ -106,81 +124,113 @@
         self.gauges.iter().map(value).collect()
     }
 
-    fn take(&mut self, answer: Answer, out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String> {
+    fn take(
+        &mut self,
+        now: Micros,
+        answer: Answer,
+        out: &mut Vec<u8>,
+        seen: &mut Vec<Seen>,
+    ) -> Result<(), String> {
         let report = self.report(&answer);
-        if let "PONG" | "SICK" = answer.word.as_str() {
-            let tag = answer.id.strip_prefix('p').and_then(|t| t.parse().ok());
-            if let Some(n) = self.probes.iter().position(|p| Some(*p) == tag) {
-                let outcome = if answer.word == "PONG" { Outcome::Ok } else { Outcome::Error };
-                seen.push(Seen::Probed(self.probes.swap_remove(n), outcome, report));
+        let cause = match answer.word.as_str() {
+            "PONG" | "SICK" => {
+                let tag = answer.id.strip_prefix('p').and_then(|t| t.parse().ok());
+                if let Some(n) = self.probes.iter().position(|p| Some(*p) == tag) {
+                    let outcome = if answer.word == "PONG" { Outcome::Ok } else { Outcome::Error };
+                    seen.push(Seen::Probed(self.probes.swap_remove(n), outcome, report));
+                }
+                return Ok(());
             }
-            return Ok(());
-        }
-        // What was given up may still be answered: its answer crossed our STOP.
+            "SHED" | "LATE" => Some(Cause::TurnedAway),
+            "FAULT" => Some(Cause::Engine("FAULT".into())),
+            "HIT" | "PART" | "INFO" => None,
+            // Whose it was can't be told, and where its end is neither.
+            other => return Err(format!("unknown word {other}")),
+        };
+        // What was given up may still be answered, as its answer crossed our STOP; and some answers come
+        // twice, or under an id that nobody asked for. None of that may reach another request.
         let Some(open) = self.open.get_mut(&*answer.id) else { return Ok(()) };
         let key = open.key;
-        match answer.word.as_str() {
-            "HIT" | "PART" => {
-                if let Err(e) = open.page(&answer, report) {
+        if let Some(cause) = cause {
+            self.open.remove(&*answer.id);
+            seen.push(Seen::Failed(key, cause));
+        } else if answer.word == "INFO" {
+            seen.extend(note(&answer).map(|note| Seen::Noted(key, note)));
+        } else {
+            match open.page(now, &answer, report) {
+                Ok(false) => return Ok(()),
+                Ok(true) => seen.push(Seen::Begun(key)),
+                Err(e) => {
+                    self.open.remove(&*answer.id);
+                    seen.push(Seen::Failed(key, Cause::Spoilt(e.into())));
                     return Err(format!("{}: {e}", answer.word));
                 }
-                seen.push(Seen::Begun(key));
-                if answer.word == "HIT" {
-                    // All pages at once: they are lost with their engine.
-                    for page in 1..open.pages.len() {
-                        out.extend(format!("FETCH {} {page}\r\n", answer.id).bytes());
-                    }
+            }
+            if answer.word == "HIT" {
+                // All pages at once: they are lost with their engine.
+                open.ask_for_missing(&answer.id, out);
+            }
+            if open.pages.iter().all(Option::is_some) {
+                if open.pages.len() > 1 {
+                    out.extend(format!("END {}\r\n", answer.id).bytes());
                 }
-                if open.pages.iter().all(Option::is_some) {
-                    if open.pages.len() > 1 {
-                        out.extend(format!("END {}\r\n", answer.id).bytes());
-                    }
-                    if let Some(done) = self.open.remove(&*answer.id) {
-                        let whole: Vec<u8> = done.pages.into_iter().flatten().flatten().collect();
-                        if std::str::from_utf8(&whole).is_err() {
-                            seen.push(Seen::Failed(key, Cause::Engine("result is not text".into())));
-                            return Ok(());
-                        }
-                        seen.push(Seen::Piece(key, Piece { about: Vec::new(), rows: whole }));
-                        seen.push(Seen::Served(key, done.report));
-                    }
+                if let Some(done) = self.open.remove(&*answer.id) {
+                    let rows = done.pages.into_iter().flatten().flatten().collect();
+                    seen.push(Seen::Piece(key, Piece { about: Vec::new(), rows }));
+                    seen.push(Seen::Served(key, done.report));
                 }
             }
-            "INFO" => seen.extend(note(&answer).map(|note| Seen::Noted(key, note))),
-            word => {
-                let cause = match word {
-                    "SHED" | "LATE" => Cause::TurnedAway,
-                    "FAULT" => Cause::Engine("FAULT".into()),
-                    other => return Err(format!("unknown word {other}")),
-                };
-                self.open.remove(&*answer.id);
-                seen.push(Seen::Failed(key, cause));
-            }
         }
         Ok(())
     }
 }
 
 impl Open {
-    fn page(&mut self, answer: &Answer, report: Vec<f64>) -> Result<(), &'static str> {
+    /// Takes a page; false if it is there already.
+    fn page(&mut self, now: Micros, answer: &Answer, report: Vec<f64>) -> Result<bool, &'static str> {
         let number = |name: &str| answer.field(name).and_then(|n| n.parse::<usize>().ok());
-        let place = if answer.word == "HIT" {
-            let pages = number("fetches").unwrap_or(1).max(1);
-            if !self.pages.is_empty() || pages > PAGES_MOST {
-                return Err("a second result, or too many pages");
+        let first = answer.word == "HIT";
+        if first && !self.pages.is_empty() {
+            return Ok(false);
+        }
+        if !is_rows(&answer.body) {
+            return Err("a page that is not whole rows of three columns");
+        }
+        let mut place = 0;
+        if first {
+            // Without a number of pages a cut result would look whole.
+            let pages = number("fetches").ok_or("no number of pages")?.max(1);
+            if pages > PAGES_MOST {
+                return Err("too many pages");
             }
             self.pages = vec![None; pages];
-            self.report = report;
-            0
+            (self.report, self.begun) = (report, now);
         } else {
-            number("fetch_no").ok_or("no page number")?
-        };
+            place = number("fetch_no").ok_or("no page number")?;
+        }
         let page = self.pages.get_mut(place).ok_or("a page that was not asked for")?;
+        if page.is_some() {
+            return Ok(false);
+        }
         *page = Some(answer.body.clone());
-        Ok(())
+        Ok(true)
+    }
+
+    fn ask_for_missing(&self, id: &str, out: &mut Vec<u8>) {
+        let missing = self.pages.iter().enumerate().filter(|(_, page)| page.is_none());
+        for (page, _) in missing {
+            out.extend(format!("FETCH {id} {page}\r\n").bytes());
+        }
     }
 }
 
+/// Whether a page holds whole rows of three text columns.
+fn is_rows(page: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(page) else { return false };
+    let row = |row: &str| row.ends_with('\n') && row.matches('\t').count() == 2;
+    text.split_inclusive('\n').all(row)
+}
+
 fn note(answer: &Answer) -> Option<Note> {
     let figure: f64 = answer.field("figure")?.parse().ok()?;
     match answer.field("res")? {
@@ -211,7 +261,7 @@
         out.extend(format!("REQ {} kind={},ms={ms} {length}\r\n", start.ask.call, start.class).bytes());
         out.extend_from_slice(&start.ask.statement);
         out.extend_from_slice(b"\r\n");
-        let open = Open { key: start.key, pages: Vec::new(), report: Vec::new() };
+        let open = Open { key: start.key, pages: Vec::new(), report: Vec::new(), begun: 0, again: false };
         self.open.insert(start.ask.call.clone(), open);
     }
     fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool {
@@ -229,10 +279,38 @@
         }
         self.probes.push(tag);
     }
-    fn feed(&mut self, input: &[u8], out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String> {
+    fn probes(&self) -> Vec<u64> {
+        self.probes.clone()
+    }
+    fn feed(
+        &mut self,
+        now: Micros,
+        input: &[u8],
+        out: &mut Vec<u8>,
+        seen: &mut Vec<Seen>,
+    ) -> Result<(), String> {
         self.reader.push(input);
         while let Some(answer) = self.reader.next_answer()? {
-            self.take(answer, out, seen)?;
+            self.within = None;
+            self.take(now, answer, out, seen)?;
+        }
+        self.within = self.reader.is_within().then_some(self.within.unwrap_or(now));
+        Ok(())
+    }
+    fn tend(&mut self, now: Micros, out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String> {
+        if self.within.is_some_and(|since| now > since + STALL) {
+            return Err("an answer stopped short".into());
+        }
+        let mut late = Vec::new();
+        for (id, open) in self.open.iter_mut().filter(|o| !o.1.pages.is_empty()) {
+            if now > open.begun + PAGES_LATE {
+                late.push(id.clone());
+            } else if now > open.begun + PAGE_AGAIN && !std::mem::replace(&mut open.again, true) {
+                open.ask_for_missing(id, out);
+            }
+        }
+        for open in late.iter().filter_map(|id| self.open.remove(id)) {
+            seen.push(Seen::Failed(open.key, Cause::Spoilt("its pages never came".into())));
         }
         Ok(())
     }
--- a/node/src/backs/mod.rs
+++ b/node/src/backs/mod.rs
@@ -50,8 +50,20 @@
     fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool;
     /// Writes a probe.
     fn probe(&mut self, tag: u64, out: &mut Vec<u8>);
+    /// Probes out on it.
+    fn probes(&self) -> Vec<u64>;
     /// Bytes have come; an error ends the connection.
-    fn feed(&mut self, input: &[u8], out: &mut Vec<u8>, seen: &mut Vec<Seen>) -> Result<(), String>;
+    fn feed(
+        &mut self,
+        now: Micros,
+        input: &[u8],
+        out: &mut Vec<u8>,
+        seen: &mut Vec<Seen>,
+    ) -> Result<(), String>;
+    /// Time has passed: what should have come by now is asked for again or ended.
+    fn tend(&mut self, _now: Micros, _out: &mut Vec<u8>, _seen: &mut Vec<Seen>) -> Result<(), String> {
+        Ok(())
+    }
     /// The engine has ended its side.
     fn ended(&mut self, seen: &mut Vec<Seen>);
     /// Whether the connection can't be used again.
--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -198,7 +198,7 @@
 
     /// Works on a connection, unless that is going on further up the stack: an answer given at once must not
     /// begin the next pipelined request inside the one before, each some frames deeper.
-    fn client_work(&mut self, now: Micros, id: ConnId) {
+    pub(super) fn client_work(&mut self, now: Micros, id: ConnId) {
         let Some(client) = self.clients.get_mut(&id).filter(|c| !c.busy) else { return };
         client.busy = true;
         self.client_loop(now, id);
@@ -217,7 +217,7 @@
         for turn in 0.. {
             let Some(client) = self.clients.get_mut(&id) else { return };
             if turn >= TURN {
-                return self.later.push(id);
+                return self.later.push(Source::Client(id));
             }
             let flushed = match client.link.flush() {
                 Ok(flushed) => flushed,
@@ -405,13 +405,6 @@
         }
     }
 
-    /// Goes on with connections that had more to do than one turn holds.
-    pub(super) fn take_turns(&mut self, now: Micros) {
-        for id in std::mem::take(&mut self.later) {
-            self.client_work(now, id);
-        }
-    }
-
     fn counters(&self) -> String {
         let connections = format!(
             "connections_clients {}\nconnections_engines {}\n",
--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -5,13 +5,21 @@
 use crate::net::{connect, out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome, Progress};
+use fernlink::interface::Effect;
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 
 /// Attempts out on one engine that its connections should carry; the bounds on their number that follow
 /// from how many one carries; and the part of all descriptors that engines' connections may hold.
 const PER_ENGINE: usize = 512;
 const CONNS: (usize, usize) = (16, 64);
+/// Attempts that share a connection while others may be opened: a spoilt answer ends all on it.
+const SHARE: usize = 4;
 const PART_OF_SOCKETS: usize = 3;
+/// Connections that may break under an attempt before a byte of it was written.
+const MOVES_MOST: u8 = 2;
+/// Reads on one connection before the others have their turn.
+const TURN: usize = 16;
 /// Attempts that wait for one connection.
 const WAITING_MOST: usize = 256;
 /// Part of the engines' idle limit after which a connection is not used again: a request that crosses the
@@ -28,7 +36,8 @@
 
 /// What waits to be written.
 enum Work {
-    Attempt(AttemptKey),
+    /// The attempt, and how often its connection broke before a byte of it was written.
+    Attempt(AttemptKey, u8),
     Probe(u64),
 }
 
@@ -49,6 +58,8 @@
     paused: bool,
     /// Takes no new work: silent, or of an earlier process.
     retired: bool,
+    /// What was last put on it must not run twice: nothing joins that.
+    alone: bool,
 }
 
 impl EngineConn {
@@ -75,8 +86,15 @@
 }
 
 impl Node {
-    /// A connection with room, the least loaded one; else a new one.
-    fn engine_conn(&mut self, now: Micros, engine: EngineId, call: Option<&str>) -> Result<ConnId, Cause> {
+    /// A connection with room, the least loaded one; else a new one. What must not run twice goes alone, so
+    /// that no answer to another can spoil it.
+    fn engine_conn(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        call: Option<&str>,
+        alone: bool,
+    ) -> Result<ConnId, Cause> {
         let (idle, notes) = (self.config.idle, self.config.settings.notes_every);
         let fits = |c: &EngineConn| {
             c.engine == engine
@@ -87,8 +105,12 @@
                 && c.load() < c.session.most()
                 && call.is_none_or(|call| c.session.takes(call))
         };
-        let best = self.engines.iter().filter(|(_, c)| fits(c));
-        if let Some((&id, _)) = best.min_by_key(|(_, c)| (!c.up, c.load())) {
+        let each = self.engines.iter().filter(|(_, c)| fits(c)).map(|(&id, c)| {
+            let apart = c.load() == 0 || !c.alone && !alone && c.load() < SHARE;
+            (!apart, !c.up, c.load(), id)
+        });
+        let best = each.min();
+        if let Some((false, .., id)) = best {
             return Ok(id);
         }
         let addr = self.addr(engine).ok_or(Cause::Connection("no address known".into()))?;
@@ -98,7 +120,7 @@
             || self.engines.len() >= self.config.sockets / PART_OF_SOCKETS
         {
             // Rather than wait without bound for a place, the attempt goes elsewhere; the engine is well.
-            return Err(Cause::TurnedAway);
+            return best.map(|b| b.3).ok_or(Cause::TurnedAway);
         }
         let stream = match connect(addr) {
             // Out of descriptors: an idle client's is worth less.
@@ -129,21 +151,28 @@
             used: now,
             paused: false,
             retired: false,
+            alone: false,
         };
         self.engines.insert(id, conn);
         Ok(id)
     }
 
-    pub(super) fn send(&mut self, now: Micros, key: AttemptKey, engine: EngineId) {
-        let Some(call) = self.core.taken(key.request).map(|t| t.ask.call.clone()) else { return };
-        match self.engine_conn(now, engine, Some(&call)) {
-            Ok(id) => self.queue_work(now, id, Work::Attempt(key)),
+    pub(super) fn send(&mut self, now: Micros, key: AttemptKey, engine: EngineId, moves: u8) {
+        let Some(ask) = self.core.taken(key.request).map(|t| t.ask) else { return };
+        let call = ask.call.clone();
+        let class = self.config.settings.classes.get(usize::from(ask.class));
+        let alone = class.is_some_and(|c| c.effect == Effect::Unsafe);
+        match self.engine_conn(now, engine, Some(&call), alone) {
+            Ok(id) => {
+                self.engines.entry(id).and_modify(|c| c.alone = alone);
+                self.queue_work(now, id, Work::Attempt(key, moves));
+            }
             Err(cause) => self.attempt_failed(now, key, cause),
         }
     }
 
     pub(super) fn probe(&mut self, now: Micros, engine: EngineId, tag: u64) {
-        match self.engine_conn(now, engine, None) {
+        match self.engine_conn(now, engine, None, false) {
             Ok(id) => self.queue_work(now, id, Work::Probe(tag)),
             Err(Cause::TurnedAway) => self.core.probed(now, tag, Outcome::Moot, &[]),
             Err(_) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
@@ -157,7 +186,7 @@
             return self.engine_write(now, id);
         }
         match work {
-            Work::Attempt(key) => self.attempt_failed(now, key, Cause::TurnedAway),
+            Work::Attempt(key, _) => self.attempt_failed(now, key, Cause::TurnedAway),
             Work::Probe(tag) => self.core.probed(now, tag, Outcome::Moot, &[]),
         }
     }
@@ -174,7 +203,7 @@
             self.engines.iter().filter(|(_, c)| c.engine == engine).map(|(&id, _)| id).collect();
         for id in ids {
             let Some(conn) = self.engines.get_mut(&id) else { continue };
-            conn.waiting.retain(|w| !matches!(w, Work::Attempt(k) if *k == key));
+            conn.waiting.retain(|w| !matches!(w, Work::Attempt(k, _) if *k == key));
             if !conn.session.open().contains(&key) {
                 continue;
             }
@@ -220,7 +249,7 @@
             let mut out = Vec::new();
             match work {
                 Work::Probe(tag) => conn.session.probe(tag, &mut out),
-                Work::Attempt(key) => {
+                Work::Attempt(key, _) => {
                     self.core.reached(key, Progress::Connected);
                     let Some(patience) = self.core.may_write(now, key) else { continue };
                     let Some(taken) = self.core.taken(key.request) else { continue };
@@ -251,15 +280,22 @@
             match conn.link.came_up() {
                 Ok(true) => (conn.up, conn.heard, conn.used) = (true, now, now),
                 Ok(false) => return,
-                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+                Err(e) => {
+                    // Reset, not refused: it had come up, so there is somebody.
+                    conn.up = e.kind() == ErrorKind::ConnectionReset;
+                    return self.drop_engine(now, id, &e.to_string());
+                }
             }
         }
         self.engine_write(now, id);
         self.engine_read(now, id);
     }
 
-    fn engine_read(&mut self, now: Micros, id: ConnId) {
-        loop {
+    pub(super) fn engine_read(&mut self, now: Micros, id: ConnId) {
+        for turn in 0.. {
+            if turn >= TURN {
+                return self.later.push(Source::Engine(id));
+            }
             let paused = self.is_ahead(id);
             let Some(conn) = self.engines.get_mut(&id) else { return };
             conn.paused = paused;
@@ -275,7 +311,7 @@
             let mut fed = Ok(());
             if !bytes.is_empty() {
                 (conn.heard, conn.used) = (now, now);
-                fed = conn.session.feed(&bytes, &mut out, &mut seen);
+                fed = conn.session.feed(now, &bytes, &mut out, &mut seen);
                 conn.link.push(&out);
             }
             if end == ReadEnd::Closed {
@@ -291,6 +327,19 @@
         }
     }
 
+    fn tend_engine(&mut self, now: Micros, id: ConnId) {
+        let Some(conn) = self.engines.get_mut(&id) else { return };
+        let (mut out, mut seen) = (Vec::new(), Vec::new());
+        let tended = conn.session.tend(now, &mut out, &mut seen);
+        conn.link.push(&out);
+        self.take_seen(now, seen);
+        match tended {
+            Err(why) => self.drop_engine(now, id, &why),
+            Ok(()) if !out.is_empty() => self.engine_write(now, id),
+            Ok(()) => {}
+        }
+    }
+
     /// Whether the client of what streams here is far behind: nothing more is read for it then, so that a
     /// slow client does not fill the memory.
     fn is_ahead(&self, id: ConnId) -> bool {
@@ -331,9 +380,15 @@
         for key in conn.session.open() {
             self.attempt_failed(now, key, Cause::Connection(why.into()));
         }
+        for tag in conn.session.probes() {
+            self.core.probed(now, tag, Outcome::Reset, &[]);
+        }
+        // Came up and broke before it carried this: that says nothing of the engine, another may do.
+        let moves_on = |moves: u8| conn.up && moves < MOVES_MOST;
         for work in conn.waiting {
             match work {
-                Work::Attempt(key) => self.attempt_failed(now, key, Cause::Connection(why.into())),
+                Work::Attempt(key, moves) if moves_on(moves) => self.send(now, key, conn.engine, moves + 1),
+                Work::Attempt(key, _) => self.attempt_failed(now, key, Cause::Connection(why.into())),
                 Work::Probe(tag) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
             }
         }
@@ -371,6 +426,9 @@
         for (id, why) in ends {
             self.drop_engine(now, id, why);
         }
+        for id in self.engines.keys().copied().collect::<Vec<_>>() {
+            self.tend_engine(now, id);
+        }
         self.resume_engines(now);
     }
 }
--- a/node/src/node/mod.rs
+++ b/node/src/node/mod.rs
@@ -45,8 +45,8 @@
     table: Table,
     feed: feed::Feed,
     next_sweep: Micros,
-    /// Clients with more to do than one turn holds.
-    later: Vec<ConnId>,
+    /// Connections with more to do than one turn holds.
+    later: Vec<Source>,
     /// Commands are being carried out.
     carrying: bool,
     stop_at: Option<Micros>,
@@ -196,7 +196,13 @@
     fn on_time(&mut self) {
         let now = self.clock();
         self.core.tick(now);
-        self.take_turns(now);
+        for source in std::mem::take(&mut self.later) {
+            match source {
+                Source::Client(id) => self.client_work(now, id),
+                Source::Engine(id) => self.engine_read(now, id),
+                Source::Listener | Source::Feed(_) => {}
+            }
+        }
         self.carry_out();
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
@@ -222,7 +228,7 @@
         while let Some(command) = self.core.command() {
             let now = self.now;
             match command {
-                Command::Send(key, engine) => self.send(now, key, engine),
+                Command::Send(key, engine) => self.send(now, key, engine, 0),
                 Command::Abandon(key, engine) => self.abandon(now, key, engine),
                 Command::Probe(engine, tag) => self.probe(now, engine, tag),
                 Command::Forget(engine) => self.forget(now, engine),
--- a/node/tests/platform.rs
+++ b/node/tests/platform.rs
@@ -50,7 +50,7 @@
                 } else if is("nonsense") && first {
                     "what is this\r\n".into()
                 } else if is("pages") {
-                    let all: Vec<String> = (0..8).map(|n| format!("{n}\ta\tb\n").repeat(500)).collect();
+                    let all: Vec<String> = (0..8).map(|n| format!("{n}\ta\tb\n").repeat(900)).collect();
                     let (page, size) = (all[0].clone(), all[0].len());
                     // The first attempt's engine dies with its pages.
                     if is("lost") && first {
@@ -187,7 +187,7 @@
     let one = site.ask("lookup", 2500, "SELECT 1");
     assert_eq!((one.status, one.text().as_str()), (200, "{\"data\":[[\"1\",\"a\",\"b\"]]}"));
     let rows: Vec<String> =
-        (0..8).flat_map(|n| std::iter::repeat_n(format!("[\"{n}\",\"a\",\"b\"]"), 500)).collect();
+        (0..8).flat_map(|n| std::iter::repeat_n(format!("[\"{n}\",\"a\",\"b\"]"), 900)).collect();
     let whole = format!("{{\"data\":[{}]}}", rows.join(","));
     assert_eq!(site.ask("report", 15_000, "SELECT pages").text(), whole);
     // Pages are lost with their engine: a read may be run again, before any row was passed on.
@@ -219,6 +219,19 @@
     assert_eq!(site.coordinator.counter("answers_overdue"), 0);
 }
 
+#[test]
+fn a_spoilt_answer_does_not_take_a_load_with_it() {
+    let site = Arc::new(Site::start(1));
+    let asking = site.clone();
+    let load = std::thread::spawn(move || asking.ask("member-load", 900, "INSERT silent").status);
+    site.ledger.wait_for("INSERT silent");
+    // Its connection ends with all that is open on it; the load is on another.
+    assert_eq!(site.ask("lookup", 2500, "SELECT nonsense").status, 200);
+    assert_eq!(load.join().unwrap(), 500);
+    site.coordinator.wait_for("attempts_ended{outcome=\"timed_out\"}", 1);
+    assert_eq!(site.coordinator.counter("attempts_ended{outcome=\"reset\"}"), 1);
+}
+
 #[test]
 fn a_client_that_leaves_is_owed_nothing_and_its_key_s_order_stands() {
     let site = Site::start(1);
--- a/node/tests/wires.rs
+++ b/node/tests/wires.rs
@@ -1,5 +1,6 @@
 //! Wires without sockets: random pieces of bytes and random steps against models of a connection's states.
 
+use driftfront::backs::clickhouse::Http;
 use driftfront::backs::lines::Lines;
 use driftfront::backs::{Seen, Session, Start};
 use driftfront::members::etcd::Etcd;
@@ -92,7 +93,7 @@
 #[derive(Clone, Debug)]
 enum Step {
     Start(u8),
-    Page(u8),
+    Page(u8, bool),
     Note(u8),
     End(u8, bool),
     Stop(u8),
@@ -106,7 +107,7 @@
         let id = u8::arbitrary(g) % 4;
         match u8::arbitrary(g) % 20 {
             0..=4 => Step::Start(id),
-            5..=11 => Step::Page(id),
+            5..=11 => Step::Page(id, bool::arbitrary(g)),
             12 => Step::Note(id),
             13..=14 => Step::End(id, bool::arbitrary(g)),
             15..=16 => Step::Stop(id),
@@ -136,18 +137,22 @@
                     model.insert(id, 0);
                 }
                 Step::Start(id) => assert!(!lines.takes(&format!("c{id}"))),
-                Step::Page(id) => {
+                Step::Page(id, twice) => {
                     let come = model.get(&id).copied().unwrap_or(0);
                     text = match come {
-                        0 => format!("c{id} HIT fetches=3 2\r\n0\n\r\n"),
-                        come => format!("c{id} PART fetch_no={come} 2\r\n{come}\n\r\n"),
+                        0 => format!("c{id} HIT fetches=3 6\r\n0\ta\tb\n\r\n"),
+                        come => format!("c{id} PART fetch_no={come} 6\r\n{come}\ta\tb\n\r\n"),
                     };
+                    if twice {
+                        // The copy is not the model's, and neither is an answer under an unknown id.
+                        text = format!("{text}{text}c9 HIT fetches=1 0\r\n\r\n");
+                    }
                     if model.contains_key(&id) {
                         want.push(Seen::Begun(key(id)));
                         model.insert(id, come + 1);
                     }
                     if come == 2 {
-                        let rows = b"0\n1\n2\n".to_vec();
+                        let rows = b"0\ta\tb\n1\ta\tb\n2\ta\tb\n".to_vec();
                         let piece = driftfront_core::Piece { about: Vec::new(), rows };
                         want.extend([Seen::Piece(key(id), piece), Seen::Served(key(id), Vec::new())]);
                         model.remove(&id);
@@ -180,13 +185,13 @@
                 Step::Probe | Step::Pong => {}
                 Step::Nonsense => {
                     // The connection ends: what is open on it is what the model says.
-                    assert!(lines.feed(b"c1 HIT fetches=x\r\n", &mut out, &mut seen).is_err());
+                    assert!(lines.feed(0, b"c1 HIT fetches=x\r\n", &mut out, &mut seen).is_err());
                     let open: Vec<AttemptKey> = model.keys().map(|&id| key(id)).collect();
                     return lines.open() == open;
                 }
             }
             for piece in cut(text.as_bytes(), &cuts) {
-                lines.feed(&piece, &mut out, &mut seen).expect("well formed");
+                lines.feed(0, &piece, &mut out, &mut seen).expect("well formed");
             }
             assert_eq!(seen, want, "{step:?}");
             assert_eq!(lines.is_idle(), model.is_empty() && probes.is_empty());
@@ -196,6 +201,62 @@
     check(follows as fn(Vec<Step>, Vec<u8>) -> bool);
 }
 
+#[test]
+fn a_spoilt_answer_ends_its_attempt_and_the_connection() {
+    let key = AttemptKey { request: RequestId(1), number: 0 };
+    let open = || {
+        let mut lines = Lines::new(32, Rc::from([]));
+        lines.start(&Start { key, ask: &ask("c1"), class: "k", patience: 1000 }, &mut Vec::new());
+        lines
+    };
+    for (answer, known) in [
+        ("c1 HIT fetches=1 4\r\na\tb\n\r\n", true),
+        ("c1 HIT fetches=1 5\r\na\tb\tc\r\n", true),
+        ("c1 HIT - 6\r\na\tb\tc\n\r\n", true),
+        ("c1 HIT fetches=99 6\r\na\tb\tc\n\r\n", true),
+        ("c1 PART fetch_no=1 6\r\na\tb\tc\n\r\n", true),
+        ("c1 HIT fetches=1 5\r\na\tb\tc\n\r\n", false),
+        ("c1 HIT fetches=1 3000000000\r\n", false),
+        ("c9 WHAT - 0\r\n\r\n", false),
+        (&"x".repeat(5000), false),
+    ] {
+        let (mut lines, mut seen) = (open(), Vec::new());
+        assert!(lines.feed(0, answer.as_bytes(), &mut Vec::new(), &mut seen).is_err(), "{answer}");
+        let spoilt = matches!(seen[..], [Seen::Failed(k, Cause::Spoilt(_))] if k == key);
+        assert_eq!((spoilt, lines.open().is_empty()), (known, known), "{answer}");
+    }
+    // One that stops short on an open connection holds up all behind it; it is given some time.
+    let (mut lines, mut out, mut seen) = (open(), Vec::new(), Vec::new());
+    lines.feed(0, b"c1 HIT fetches=1 600\r\na\tb", &mut out, &mut seen).unwrap();
+    assert!(lines.tend(400_000, &mut out, &mut seen).is_ok());
+    lines.feed(450_000, b"\tc\n", &mut out, &mut seen).unwrap();
+    assert!(lines.tend(600_000, &mut out, &mut seen).is_err());
+    // A page that never comes is asked for once more, then its attempt is over and the rest goes on.
+    let mut lines = open();
+    lines.feed(0, b"c1 HIT fetches=2 0\r\n\r\n", &mut out, &mut seen).unwrap();
+    let mut again = Vec::new();
+    for now in [200_000, 300_000, 400_000] {
+        lines.tend(now, &mut again, &mut seen).unwrap();
+    }
+    assert_eq!(String::from_utf8(again).unwrap(), "FETCH c1 1\r\n");
+    seen.clear();
+    lines.tend(1_300_000, &mut out, &mut seen).unwrap();
+    assert!(matches!(seen[..], [Seen::Failed(k, Cause::Spoilt(_))] if k == key) && lines.is_idle());
+}
+
+#[test]
+fn an_answer_to_another_query_is_not_taken_for_this_one_s() {
+    let key = AttemptKey { request: RequestId(1), number: 0 };
+    for (name, fine) in [("c1", true), ("c0", false)] {
+        let (mut http, mut seen) = (Http::new("h".into()), Vec::new());
+        http.start(&Start { key, ask: &ask("c1"), class: "k", patience: 1000 }, &mut Vec::new());
+        let answer =
+            format!("HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: {name}\r\nContent-Length: 2\r\n\r\n1\n");
+        assert_eq!(http.feed(0, answer.as_bytes(), &mut Vec::new(), &mut seen).is_ok(), fine);
+        assert_eq!(seen.contains(&Seen::Served(key, Vec::new())), fine);
+    }
+}
+
 fn ask(call: &str) -> Ask {
     Ask {
         call: call.into(),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,6 +25,7 @@
 const OVERRUN_AFTER: f64 = 400_000.0; // ... once out for this long: earlier, notes are too rough.
 const SILENCE: f64 = 1_600_000.0; // No word for this long with work out is silence: longer than short stalls.
 const SHUT: Micros = 400_000; // A failed engine rests this long, doubled up to 16-fold: covers a restart.
+const ERRORS: usize = 2; // Engines that answer a query with an error before the fault is taken for its own.
 const COLD_CARE: f64 = 0.7; // Part of the cold budget used: the rule weighs by usual work, not by ours.
 const CAPACITY: f64 = 0.85; // Capacity is where cores are this busy (the cold rule's own definition).
 const ANSWER_MARGIN: Micros = 10_000; // Final answers leave this long, and two ticks, to the client.
@@ -570,7 +571,9 @@
             return;
         }
         let most = self.cfg.max_attempts.unwrap_or(u32::MAX).min(200) as usize;
-        let barred = job.tries.len() >= most || !self.engines.values().any(|e| self.may_send(now, id, e));
+        let errors = job.tries.iter().filter(|t| t.outcome == Some(Outcome::Error)).count();
+        let spent = job.tries.len() >= most || errors >= ERRORS;
+        let barred = spent || !self.engines.values().any(|e| self.may_send(now, id, e));
         if barred || self.hopeless(now, id) || !self.budget_left(now) {
             self.give_up(now, id, act);
         } else {
@@ -675,9 +678,21 @@
         let (id, outcome) = (end.query, end.outcome);
         let Some(engine) = self.record_end(end) else { return };
         self.take_report(now, engine, end.report);
+        let safe = self.class(id).effect == Effect::Safe;
         let job = self.jobs.get_mut(&id).expect("an attempt was recorded");
         match outcome {
-            Outcome::Ok => self.learn(now, engine, end),
+            Outcome::Ok => {
+                // Served here, so where it erred before the fault was the engine's.
+                let erred = job.tries.iter().filter(|t| t.outcome == Some(Outcome::Error));
+                for engine in erred.map(|t| t.engine).collect::<Vec<_>>() {
+                    self.failed(now, engine, Outcome::Error, act);
+                }
+                self.learn(now, engine, end);
+            }
+            // A query that no engine can use would shut them all: it is blamed until another serves it.
+            Outcome::Error if safe => {
+                job.avoid.insert(engine);
+            }
             Outcome::Full | Outcome::Error | Outcome::Unreachable | Outcome::Reset => {
                 job.avoid.insert(engine);
                 self.failed(now, engine, outcome, act);
@@ -756,18 +771,26 @@
             (e.full_at, e.heard) = (Some(now), now);
             return;
         }
-        // One error may be the query's; two in a row are the engine's. Broken links tell at once.
+        // What else ends while it rests is the same failure, unless it tells more: that it can't be reached.
+        e.lost |= outcome == Outcome::Unreachable;
+        if now < e.shut_until && (e.on_trial || outcome != Outcome::Unreachable) {
+            return;
+        }
+        // One error may be the query's; two in a row are the engine's.
         e.failures += 1;
-        if now < e.shut_until || outcome == Outcome::Error && e.failures < 2 {
+        if outcome == Outcome::Error && e.failures < 2 {
             return;
         }
         e.shut_until = now + (SHUT << (e.failures - 1).min(4));
-        e.on_trial = true;
-        e.lost |= matches!(outcome, Outcome::Unreachable | Outcome::Reset);
+        // A connection may break and its engine be well: a probe tells at once, and until then it rests.
+        let doubt = outcome == Outcome::Reset && e.failures == 1 && self.cfg.may_probe;
+        e.on_trial = !doubt;
+        if doubt {
+            self.probe(now, &[engine], act);
+        }
         if now >= self.tally.last_log + LOG_EVERY {
             self.tally.last_log = now;
-            let text = format!("engine {:x} shut after {outcome:?}, failure {}", engine.0, e.failures);
-            act.push(Action::Log(text));
+            act.push(Action::Log(format!("engine {:x} shut after {outcome:?}", engine.0)));
         }
         self.hold_queue(engine);
         self.route_held(now, act);
@@ -776,7 +799,14 @@
     fn on_probe(&mut self, now: Micros, id: EngineId, outcome: Outcome, report: &[f64], act: &mut Actions) {
         self.take_report(now, id, report);
         match (outcome, self.engines.get_mut(&id)) {
-            (Outcome::Ok, Some(e)) => e.heard = now,
+            (Outcome::Ok, Some(e)) => {
+                e.heard = now;
+                if !e.on_trial && now < e.shut_until {
+                    // Only a connection had broken.
+                    e.shut_until = 0;
+                    self.route_held(now, act);
+                }
+            }
             (Outcome::Full | Outcome::Moot, _) | (_, None) => {}
             _ => self.failed(now, id, outcome, act),
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -43,6 +43,58 @@
     }
 }
 
+#[test]
+fn a_query_that_errs_everywhere_is_sent_twice_and_no_engine_is_blamed() {
+    let mut rig = Rig::new(settings(vec![class(9 * S, 1.0, 1.0)]), &[listed(1), listed(2)]);
+    for _ in 0..6 {
+        let (q, act) = rig.arrive(0, S, 1);
+        let first = sends(&act)[0].1;
+        let again = sends(&rig.end(q, 0, Outcome::Error, MS));
+        assert_eq!(again, [(q.0, 3 - first)]);
+        assert!(refused(&rig.end(q, 1, Outcome::Error, MS), q));
+    }
+    // Where the other serves what engine 1 errs on, it is the engine: two in a row shut it.
+    let mut errors = 0;
+    for _ in 0..20 {
+        let (q, act) = rig.arrive(0, S, 1);
+        let errs = sends(&act)[0].1 == 1;
+        errors += usize::from(errs);
+        if errs {
+            rig.end(q, 0, Outcome::Error, MS);
+        }
+        rig.end(q, u8::from(errs), Outcome::Ok, S);
+    }
+    assert_eq!(errors, 2);
+}
+
+#[test]
+fn a_broken_connection_rests_its_engine_until_a_probe_answers() {
+    let mut s = settings(vec![class(9 * S, 1.0, 1.0)]);
+    (s.may_probe, s.gateways) = (true, 2);
+    s.cold = Some(ColdStart { from: 0.3, warm_after: 10 * S, multiple: 0.1, window: 2 * S });
+    let mut rig = Rig::new(s, &[listed(1)]);
+    let all: Vec<QueryId> = (0..4).map(|_| rig.arrive(0, 100 * MS, 1).0).collect();
+    // All on the connection end at once: one failure, and one probe.
+    let mut act = Vec::new();
+    for q in &all {
+        act.extend(rig.event(Event::Ended(Ended {
+            query: *q,
+            attempt: 0,
+            outcome: Outcome::Reset,
+            last: true,
+            spent: MS,
+            work: None,
+            memory_mb: None,
+            report: &[],
+        })));
+    }
+    assert_eq!(act.iter().filter(|a| **a == Action::Probe(EngineId(1))).count(), 1, "{act:?}");
+    rig.report(1, &[0.0]);
+    // It answers, so it was never gone: not on trial, and not cold, where hardly anything would fit.
+    let started: usize = (0..4).map(|_| sends(&rig.arrive(0, 100 * MS, 1).1).len()).sum();
+    assert_eq!(started, 4);
+}
+
 #[test]
 fn a_keyed_query_is_repeated_only_inside_its_group_and_window() {
     let mut s = settings(vec![class(40 * S, 1.0, 1.0)]);
