A gateway whose reports show hardly any others takes their part of the run bound

Now own queries over all that fresh reports tell, where the others would hold under 0.12 of one's own each.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,6 +36,8 @@
 const PROBE_MOST: f64 = 1.0; // brings reports. Probes a query are this over their price, and at most so many.
 const CROWD: [usize; 2] = [2, 5]; // Crowded: one in so many heard is pressed; the latter if none heals soon.
 const POOLED: f64 = 1.8; // A sliver's bound over the fleet, as a multiple; squared when unpressed.
+const ALONE: f64 = 0.12; // Others that hold less than this part of one's own each are down, not just quiet.
+const SHARE_BLEND: f64 = 0.03; // Weight of one tick in the share: some two seconds.
 const WORTHWHILE: f64 = 0.5; // A late run that earns under this part of what new work would is ended.
 const DRAWN: usize = 2; // Engines drawn at random where many choose from stale views: two break the herd.
 const HOMES: usize = 2; // Engines where, by common reckoning, a table group's queries meet: few stay warm.
@@ -122,7 +124,8 @@
     fn learn_share(&self, now: Micros) -> f64 {
         let n = f64::from(self.cfg.gateways.max(1));
         if self.peers.is_empty() || self.tally.demand <= 0.0 {
-            return 1.0 / n;
+            let share = self.reported_share(now).unwrap_or(1.0 / n);
+            return self.tally.share + SHARE_BLEND * (share - self.tally.share);
         }
         let told: f64 = self.peers.values().map(|p| p.demand * freshness(now, p.at)).sum();
         let heard: f64 = self.peers.values().map(|p| freshness(now, p.at)).sum();
@@ -134,6 +137,15 @@
         (own / (own + told + (n - 1.0 - self.peers.len() as f64).max(0.0) * own)).max(0.5 / n)
     }
 
+    /// Own part of the queries that engines report, where it says that other gateways are down.
+    fn reported_share(&self, now: Micros) -> Option<f64> {
+        let active = |e: &Engine| self.fresh(now, e)?.active;
+        let each = self.ready().filter_map(|e| Some((e.out.len() as f64, active(e)?)));
+        let (own, all) = each.fold((0.0, 0.0), |sum, (own, active)| (sum.0 + own, sum.1 + own.max(active)));
+        let others = f64::from(self.cfg.gateways) - 1.0;
+        (!self.sliver() && all - own < ALONE * own * others).then_some(own / all)
+    }
+
     fn cores(&self, e: &Engine) -> f64 {
         let known = self.cfg.kinds.get(usize::from(e.kind)).and_then(|k| k.cores);
         known.or_else(|| self.cfg.kinds.iter().find_map(|k| k.cores)).unwrap_or(CORES)
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -150,3 +150,24 @@
     let (next, act) = rig.arrive(0, 200 * MS, 2);
     assert_eq!(sends(&act), [(next.0, 1)], "the other is far busier");
 }
+
+#[test]
+fn a_gateway_takes_the_part_of_others_that_are_down() {
+    // Of three gateways' run bound on 4 cores a third is 4 x 2.2 x 2 / 3 + 1 = 6.9 threads, and under
+    // pressure, which 9 active make, all of it is 4 x 2.2 + 1 = 9.8.
+    let started = |others: f64| {
+        let mut s = settings(vec![class(60 * S, 1.0, 1.0)]);
+        (s.gateways, s.report_fields) = (3, vec![ReportField::Active]);
+        s.kinds[0].cores = Some(4.0);
+        let mut rig = Rig::new(s, &[listed(1)]);
+        let mut started = 0;
+        for _ in 0..20 {
+            started += sends(&rig.arrive(0, 30 * S, 1).1).len();
+            rig.report(1, &[started as f64 + others]);
+            started += sends(&rig.tick(S)).len();
+        }
+        started
+    };
+    // With the others' queries in its reports it keeps to its part; alone it takes theirs.
+    assert!(started(3.0) <= 7 && started(0.0) >= 9, "{} and {}", started(3.0), started(0.0));
+}
