Newcomers are not shut out by clients that asked once and stay

With all places taken by clients that asked once and stay, each newcomer was the only such one, so the next connect ended it before it could speak. Ruled out: rolling restarts (failures begin before them), engines (7 connections reset), time (CPU 0.1 s in a second). Now the longest idle goes, a newcomer's idling counts eightfold, and clients may hold 60 in 100 descriptors, not 45; with a third for engines that leaves room for the rest. Silence on an engine connection counts from the first attempt out, not from a probe that still waits there.

--- a/node/src/node/clients.rs
+++ b/node/src/node/clients.rs
@@ -20,6 +20,10 @@
 /// After a reply to what could not be taken the connection's next request waits this long: who sends the
 /// same again at once would take the others' share of the processor.
 const BAD_PAUSE: Micros = 100_000;
+/// Descriptors, in 100 of all, for clients; usual ones hold a third at most.
+const PART_OF_SOCKETS: usize = 60;
+/// A connection that never brought a whole request counts as idle for this many times as long.
+const FRESH_WEIGHT: Micros = 8;
 /// Steps on one connection before the others have their turn.
 const TURN: usize = 16;
 /// After a close of ours the peer's last bytes are read for this long: unread ones would reset the
@@ -63,16 +67,21 @@
         self.link.backlog() > 0
     }
 
-    /// How dear a connection is where descriptors are short; `None` if it must stay. Least so are those that
-    /// are closing, then those that never brought a request, however much of one.
-    fn worth(&self) -> Option<u8> {
-        match () {
-            () if self.current.is_some() => None,
-            () if self.shut => Some(0),
-            () if self.fresh => Some(1),
-            () if self.is_writing() || self.reader.is_within() => None,
-            () => Some(2),
-        }
+    /// How ripe a connection is for an end where descriptors are short; `None` if it must stay.
+    fn ripe(&self, now: Micros) -> Option<Micros> {
+        let open = self.current.is_some() || self.is_writing() || self.reader.is_within() && !self.fresh;
+        (self.shut || !open).then(|| ripeness(self.shut, self.fresh, now.saturating_sub(self.used)))
+    }
+}
+
+/// Those that are closing go first, then the longest idle. One that never brought a whole request counts as
+/// idle for longer, but is not always first: else those that asked once and stay would fill all places,
+/// and each newcomer would be shut out by the next before it has said a word.
+fn ripeness(shut: bool, fresh: bool, idle: Micros) -> Micros {
+    match (shut, fresh) {
+        (true, _) => Micros::MAX,
+        (false, true) => idle.saturating_mul(FRESH_WEIGHT),
+        (false, false) => idle,
     }
 }
 
@@ -89,9 +98,9 @@
 impl Node {
     /// Takes connections in while there is room; what has to wait is looked at again with each sweep.
     pub(super) fn accept(&mut self, now: Micros) {
-        let most = self.config.sockets * 45 / 100;
+        let most = self.config.sockets * PART_OF_SOCKETS / 100;
         loop {
-            if self.clients.len() >= most && !self.drop_least_dear(now) {
+            if self.clients.len() >= most && !self.drop_ripest(now) {
                 return;
             }
             let stream = match self.listener.accept() {
@@ -100,7 +109,7 @@
                 // The connection stays in the backlog until there is room.
                 Err(e) if out_of_descriptors(&e) => {
                     tracing::warn!("out of descriptors");
-                    if self.drop_least_dear(now) {
+                    if self.drop_ripest(now) {
                         continue;
                     }
                     return;
@@ -147,15 +156,15 @@
         client.map_or(0, |c| c.link.backlog())
     }
 
-    /// Makes room for a connection: the least dear one goes, the oldest of those.
-    pub(super) fn drop_least_dear(&mut self, now: Micros) -> bool {
-        let each = self.clients.iter().filter_map(|(&id, c)| Some((c.worth()?, c.used, id)));
-        let least = each.min().map(|(_, _, id)| id);
-        if let Some(id) = least {
+    /// Makes room for a connection: the ripest one goes.
+    pub(super) fn drop_ripest(&mut self, now: Micros) -> bool {
+        let each = self.clients.iter().filter_map(|(&id, c)| Some((c.ripe(now)?, id)));
+        let ripest = each.max().map(|(_, id)| id);
+        if let Some(id) = ripest {
             self.tell_late(id);
             self.drop_client(now, id);
         }
-        least.is_some()
+        ripest.is_some()
     }
 
     /// What a client whose request never became whole may still read before the close.
@@ -414,3 +423,19 @@
         format!("{}{connections}requests_open {}\n", self.core.counters(), self.core.open())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::ripeness;
+
+    #[test]
+    fn a_newcomer_has_time_to_speak_while_others_idle() {
+        let (shut, asked, fresh) = (
+            |idle| ripeness(true, false, idle),
+            |idle| ripeness(false, false, idle),
+            |idle| ripeness(false, true, idle),
+        );
+        assert!(shut(0) > fresh(9_000_000) && fresh(500_000) > asked(3_000_000));
+        assert!(asked(2_000_000) > fresh(100_000));
+    }
+}
--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -126,7 +126,7 @@
         }
         let stream = match connect(addr) {
             // Out of descriptors: an idle client's is worth less.
-            Err(e) if out_of_descriptors(&e) && self.drop_least_dear(now) => connect(addr),
+            Err(e) if out_of_descriptors(&e) && self.drop_ripest(now) => connect(addr),
             other => other,
         };
         let stream = stream.map_err(|e| {
@@ -249,7 +249,11 @@
             let Some(conn) = self.engines.get_mut(&id) else { return };
             let Some(work) = conn.waiting.pop_front() else { return };
             let mut out = Vec::new();
-            let was_idle = conn.session.is_idle();
+            // A probe that still waits says nothing of when what is written now should be heard of.
+            let was_idle = match work {
+                Work::Probe(_) => conn.session.is_idle(),
+                Work::Attempt(..) => conn.session.open().is_empty(),
+            };
             match work {
                 Work::Probe(tag) => conn.session.probe(tag, &mut out),
                 Work::Attempt(key, _) => {
