An engine heard on any connection is not silent

The line: engines.rs is_silent(), which took a connection for dead by its own silence; since few attempts share one, a query that waits tells nothing there. Now silence counts from when anything last came from the engine. Ruled out: engines out of reach (probes answered all along).

--- a/node/src/node/engines.rs
+++ b/node/src/node/engines.rs
@@ -55,6 +55,8 @@
     /// When something came last, or it last went from idle to busy: new work put on a connection must not make
     /// one that is silent look alive.
     heard: Micros,
+    /// When something came last.
+    read: Micros,
     used: Micros,
     /// Reading waits until a slow client has taken what it was passed.
     paused: bool,
@@ -73,13 +75,9 @@
         self.waiting.len() + self.session.open().len()
     }
 
-    fn is_silent(&self, now: Micros, notes: Option<Micros>) -> bool {
-        let late = match notes {
-            Some(every) => every + NOTE_LATE,
-            None if self.session.open().is_empty() => PROBE_LATE,
-            None => return false,
-        };
-        self.up && !self.session.is_idle() && now > self.heard + late
+    fn is_silent(&self, now: Micros, notes: Option<Micros>, engine_heard: Micros) -> bool {
+        let heard = self.heard.max(engine_heard);
+        self.up && !self.session.is_idle() && is_overdue(now, notes, heard, self.session.open().is_empty())
     }
 
     fn is_stale(&self, now: Micros, idle: Micros) -> bool {
@@ -87,6 +85,15 @@
     }
 }
 
+/// Whether a word is overdue from an engine that was last heard then, on any connection: one that is only full
+/// tells nothing of what waits on this, but goes on answering on others.
+fn is_overdue(now: Micros, notes: Option<Micros>, heard: Micros, only_probes: bool) -> bool {
+    match notes {
+        Some(every) => now > heard + every + NOTE_LATE,
+        None => only_probes && now > heard + PROBE_LATE,
+    }
+}
+
 impl Node {
     /// A connection with room, the least loaded one; else a new one. What must not run twice goes alone, so
     /// that no answer to another can spoil it.
@@ -98,11 +105,12 @@
         alone: bool,
     ) -> Result<ConnId, Cause> {
         let (idle, notes) = (self.config.idle, self.config.settings.notes_every);
+        let heard = self.heard_of(engine);
         let fits = |c: &EngineConn| {
             c.engine == engine
                 && !c.retired
                 && !c.session.is_spent()
-                && !c.is_silent(now, notes)
+                && !c.is_silent(now, notes, heard)
                 && !c.is_stale(now, idle)
                 && c.load() < c.session.most()
                 && call.is_none_or(|call| c.session.takes(call))
@@ -150,6 +158,7 @@
             waiting: VecDeque::new(),
             marks: VecDeque::new(),
             heard: now,
+            read: 0,
             used: now,
             paused: false,
             retired: false,
@@ -159,6 +168,11 @@
         Ok(id)
     }
 
+    /// When anything last came from an engine, on whatever connection.
+    fn heard_of(&self, engine: EngineId) -> Micros {
+        self.engines.values().filter(|c| c.engine == engine).map(|c| c.read).max().unwrap_or(0)
+    }
+
     pub(super) fn send(&mut self, now: Micros, key: AttemptKey, engine: EngineId, moves: u8) {
         let Some(ask) = self.core.taken(key.request).map(|t| t.ask) else { return };
         let call = ask.call.clone();
@@ -317,7 +331,7 @@
             let (mut out, mut seen) = (Vec::new(), Vec::new());
             let mut fed = Ok(());
             if !bytes.is_empty() {
-                (conn.heard, conn.used) = (now, now);
+                (conn.heard, conn.read, conn.used) = (now, now, now);
                 fed = conn.session.feed(now, &bytes, &mut out, &mut seen);
                 conn.link.push(&out);
             }
@@ -425,7 +439,8 @@
             // A probe that no answer comes to must not hold its connection for ever. Where notes come, what is
             // out on a silent connection is lost: it ends, to be tried elsewhere, but for what must not run
             // twice, which may still be answered once the engine can be reached again.
-            if c.is_silent(now, notes) && (c.session.open().is_empty() && c.waiting.is_empty() || !c.alone) {
+            let silent = c.is_silent(now, notes, self.heard_of(c.engine));
+            if silent && (c.session.open().is_empty() && c.waiting.is_empty() || !c.alone) {
                 return Some("silent");
             }
             let unused = c.is_idle() && (c.retired || c.session.is_spent() || c.is_stale(now, idle));
@@ -441,3 +456,17 @@
         self.resume_engines(now);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::is_overdue;
+
+    #[test]
+    fn silence_is_an_engine_s_not_one_connection_s() {
+        let notes = Some(1_000_000);
+        assert!(is_overdue(10_000_000, notes, 8_000_000, false));
+        assert!(!is_overdue(10_000_000, notes, 9_900_000, false));
+        // Where no notes come a query may run for as long as it likes.
+        assert!(!is_overdue(90_000_000, None, 0, false) && is_overdue(90_000_000, None, 0, true));
+    }
+}
