A gateway of many draws engines by their cores from a circle of its own

At fault: `narrow` drew two engines uniformly from the whole list; IDLE_PART gave connections up at 0.6 of the limit.

Ruled out: that member-loads are lost to full lanes that should refuse. That loads of one table group meet and wait for each other: 13% do and run twice as long, but a random spread would let as many meet.

Change: two are drawn by cores out of ten engines that a gateway's own hash puts first; IDLE_PART is 0.9, still 1.5 s off the engine's close.

--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -41,6 +41,7 @@
 const SHARE_BLEND: f64 = 0.03; // Weight of one tick in the share: some two seconds.
 const WORTHWHILE: f64 = 0.5; // A late run that earns under this part of what new work would is ended.
 const DRAWN: usize = 2; // Engines drawn at random where many choose from stale views: two break the herd.
+const CIRCLE: usize = 10; // Engines a sliver draws from: few, so that connections and beliefs last.
 const HOMES: usize = 2; // Engines where, by common reckoning, a table group's queries meet: few stay warm.
 const RUSH: f64 = 1.5; // The most demand a cold engine's chance counts with, as a multiple of capacity.
 const COLD_WHOLE: f64 = 0.125; // No query above this part of a cold window by chance: large ones scatter.
@@ -63,6 +64,7 @@
     pub(crate) jobs: BTreeMap<QueryId, Job>,
     pub(crate) lanes: BTreeMap<u64, Lane>,
     random: Random,
+    salt: u64,
     pub(crate) learned: Vec<Learned>,
     quotas: Vec<Bucket>,
     peers: BTreeMap<u32, Peer>,
@@ -78,7 +80,7 @@
         let quotas = vec![Bucket::default(); cfg.tenants.len()];
         let share = 1.0 / f64::from(cfg.gateways.max(1));
         let (random, tally) = (Random(seed), Tally { share, pace: 1.0, ..Tally::default() });
-        Controller { cfg, engines, jobs, lanes, random, learned, quotas, peers, tally }
+        Controller { cfg, engines, jobs, lanes, random, salt: seed, learned, quotas, peers, tally }
     }
 
     /// Handles one event; what is to be done is appended to `act`.
@@ -379,7 +381,11 @@
         let heard = |e: &Engine| self.fresh(now, e).is_some() || self.warmth(now, e) < 1.0;
         eligible[..homes].sort_by_key(|e| !heard(&self.engines[e]));
         let homes = eligible[..homes].iter().filter(|e| heard(&self.engines[e])).count();
-        self.random.draw(&mut eligible[homes..], DRAWN);
+        // Each gateway has a circle of its own, the same while its engines are well; large engines take more.
+        eligible[homes..].sort_by_cached_key(|e| Random(e.0 ^ self.salt).below(usize::MAX));
+        let circle = eligible.len().min(homes + CIRCLE);
+        let cores: Vec<f64> = eligible.iter().map(|e| self.cores(&self.engines[e])).collect();
+        self.random.draw_weighted(&mut eligible[homes..circle], &cores[homes..circle], DRAWN);
         // A cold engine is here by a chance of its own: a second draw would leave it idle.
         let mut rest = eligible.split_off(eligible.len().min(homes + DRAWN));
         rest.retain(|e| self.warmth(now, &self.engines[e]) < 1.0);
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -16,6 +16,22 @@
         ((z ^ (z >> 31)) % n.max(1) as u64) as usize
     }
 
+    /// Brings `most` entries drawn at random to the front, each with a chance by its weight.
+    pub fn draw_weighted<T>(&mut self, list: &mut [T], weights: &[f64], most: usize) {
+        let mut weights = weights.to_vec();
+        for n in 0..most.min(list.len()) {
+            let mut left =
+                self.below(1 << 32) as f64 / (1u64 << 32) as f64 * weights[n..].iter().sum::<f64>();
+            let passed = |w: &&f64| {
+                left -= **w;
+                left >= 0.0
+            };
+            let other = (n + weights[n..].iter().take_while(passed).count()).min(list.len() - 1);
+            list.swap(n, other);
+            weights.swap(n, other);
+        }
+    }
+
     /// Brings `most` entries drawn at random to the front.
     pub fn draw<T>(&mut self, list: &mut [T], most: usize) {
         for n in 0..most.min(list.len()) {
--- a/crates/fernlink/tests/common/mod.rs
+++ b/crates/fernlink/tests/common/mod.rs
@@ -70,7 +70,10 @@
 
 impl Rig {
     pub fn new(settings: Settings, engines: &[Listed]) -> Rig {
-        let mut rig = Rig { c: Controller::new(settings, 7), now: 100 * S, next: 1 };
+        Rig::seeded(settings, engines, 7)
+    }
+    pub fn seeded(settings: Settings, engines: &[Listed], seed: u64) -> Rig {
+        let mut rig = Rig { c: Controller::new(settings, seed), now: 100 * S, next: 1 };
         rig.event(Event::Engines(ListKind::Cached, engines));
         rig
     }
--- a/crates/fernlink/tests/crowd.rs
+++ b/crates/fernlink/tests/crowd.rs
@@ -58,6 +58,42 @@
     assert!(used.len() > 8, "{used:?}");
 }
 
+/// Engines used by a gateway of this seed, and how often, over many light queries.
+fn used(seed: u64, list: &[Listed]) -> std::collections::BTreeMap<u64, usize> {
+    let mut s = sliver();
+    s.kinds[1].cores = Some(16.0);
+    let mut rig = Rig::seeded(s, list, seed);
+    let mut used = std::collections::BTreeMap::new();
+    for _ in 0..200 {
+        let (q, act) = rig.arrive(0, 100 * MS, 3);
+        sends(&act).iter().for_each(|s| *used.entry(s.1).or_default() += 1);
+        rig.end(q, 0, Outcome::Ok, 100 * MS);
+    }
+    used
+}
+
+#[test]
+fn a_sliver_connects_to_few_of_many_engines_and_each_gateway_to_others() {
+    let list: Vec<Listed> = (1..=60).map(listed).collect();
+    let (one, other) = (used(7, &list), used(8, &list));
+    assert!((8..=12).contains(&one.len()) && (8..=12).contains(&other.len()), "{one:?} {other:?}");
+    assert!(one.keys().filter(|e| other.contains_key(e)).count() < 7, "{one:?} {other:?}");
+    // One that leaves is replaced by one other; all else stays as it was.
+    let left = *one.keys().next().unwrap();
+    let rest: Vec<Listed> = list.iter().filter(|l| l.engine.0 != left).copied().collect();
+    let after = used(7, &rest);
+    assert_eq!(after.keys().filter(|e| !one.contains_key(e)).count(), 1, "{one:?} {after:?}");
+}
+
+#[test]
+fn engines_unheard_of_draw_queries_by_their_cores() {
+    let list: Vec<Listed> = (1..=60).map(|e| Listed { kind: (e % 2) as u16, ..listed(e) }).collect();
+    let all: Vec<_> = (0..40).flat_map(|seed| used(seed, &list)).collect();
+    let large: usize = all.iter().filter(|u| u.0 % 2 == 1).map(|u| u.1).sum();
+    let part = large as f64 / all.iter().map(|u| u.1).sum::<usize>() as f64;
+    assert!((0.6..0.73).contains(&part), "two thirds of all cores took {part}");
+}
+
 #[test]
 fn under_pressure_wide_queries_wait_and_light_ones_pass() {
     // Pressure by a busy report, and by one of more queries than the bound has threads for.
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -26,7 +26,7 @@
 const WAITING_MOST: usize = 256;
 /// Part of the engines' idle limit after which a connection is not used again: a request that crosses the
 /// engine's close would be lost without proof that it never ran.
-const IDLE_PART: f64 = 0.6;
+const IDLE_PART: f64 = 0.9;
 /// Where notes come with work out, a connection that is this much late with them counts as silent: new work
 /// goes by another one, whose connect shows at once whether the engine can be reached.
 const NOTE_LATE: Micros = 600_000;
