Lost zones, erring and slow engines draw less; cold engines take the chance they were given

Zone that dies: 905 idle connections reset at one moment, and still 522 attempts to it in the next second. Engines that err in a third of their answers kept their full part (370 errors by 776 answers), engines that run ten times slower too. Engines replaced within 7 s: the 12 that stayed held 50 to 100 threads each, the 18 new ones 2 to 6 for 10 s.

At fault: `eligible` knows engines, not zones; `drop_engine` told nothing where no attempt was out; `failed` blames an engine only for the second error in a row, and a good answer between clears it; choice by gain sees no slowness, as a mean look-up fits its aim at six times its run; `narrow` let a cold engine that had won its chance compete with four others, and `cold_room` barred every report and load (weight over an eighth of the window) from all cold ones.

Ruled out: refusals for want of room (waits before a first send were 0 to 0.3 s while attempts failed).

Change: two engines lost in a zone with nothing heard from there since make its engines second choice until any of them answers, a probe too, or the list tells of a start. Idle connections all reset are told as a broken probe. An error counts as three times slower where engines are met seldom; draws go by cores over pace squared. A cold engine that passes its chance is taken; large queries pass with the cube of what they are under an eighth.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -54,6 +54,8 @@
     pub released: u64,
     /// Attempts of unknown fate that could not be remembered: the bound on them bit.
     pub doubts_dropped: u64,
+    /// Engines whose idle connections were all reset.
+    pub doubted: u64,
 }
 
 impl fmt::Display for Counters {
@@ -74,6 +76,7 @@
             ("requests_called_off", self.called_off),
             ("attempts_released", self.released),
             ("doubts_dropped", self.doubts_dropped),
+            ("engines_doubted", self.doubted),
         ] {
             writeln!(f, "{name} {count}")?;
         }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -2,7 +2,7 @@
 
 use crate::send::Attempt;
 use crate::{query, AttemptKey, Command, Core, Due, RequestId};
-use fernlink::interface::{Action, Ended, EngineId, Event, Micros, Outcome, QueryId};
+use fernlink::interface::{Action, Ended, EngineId, Event, Micros, Outcome, Phase, QueryId};
 use std::collections::VecDeque;
 
 impl Core {
@@ -67,6 +67,15 @@
         }
     }
 
+    /// All idle connections to an engine were reset: its process may have ended, and the module hears of it before
+    /// the next attempt is lost there.
+    pub fn doubted(&mut self, now: Micros, engine: EngineId) {
+        if self.phase(engine) == Some(Phase::Ready) {
+            self.counters.doubted += 1;
+            self.tell(now, Event::Probed(engine, Outcome::Reset, &[]));
+        }
+    }
+
     /// The client has left: no answer is owed. What is out still counts until it ends.
     pub fn left(&mut self, now: Micros, id: RequestId) {
         if self.close(id) {
--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -26,6 +26,8 @@
 const OVERRUN_AFTER: f64 = 400_000.0; // ... once out for this long: earlier, notes are too rough.
 const SILENCE: f64 = 1_600_000.0; // No word for this long with work out is silence: longer than short stalls.
 const SHUT: Micros = 400_000; // A failed engine rests this long, doubled up to 16-fold: covers a restart.
+const ERRING: f64 = 3.0; // A sliver's engine that errs counts as so much slower: it is met too seldom.
+const LOST: usize = 2; // Engines of a zone lost with no word from any there: the zone is, until one answers.
 const ERRORS: usize = 2; // Engines that answer a query with an error before the fault is taken for its own.
 const COLD_CARE: f64 = 0.7; // Part of the cold budget used: the rule weighs by usual work, not by ours.
 const CAPACITY: f64 = 0.85; // Capacity is where cores are this busy (the cold rule's own definition).
@@ -44,7 +46,7 @@
 const CIRCLE: usize = 10; // Engines a sliver draws from: few, so that connections and beliefs last.
 const HOMES: usize = 2; // Engines where, by common reckoning, a table group's queries meet: few stay warm.
 const RUSH: f64 = 1.5; // The most demand a cold engine's chance counts with, as a multiple of capacity.
-const COLD_WHOLE: f64 = 0.125; // No query above this part of a cold window by chance: large ones scatter.
+const COLD_WHOLE: f64 = 0.125; // Queries above this part of a cold window have less chance: they scatter.
 const LOOK_AGAIN: usize = 12; // Queued queries looked at again per tick, so that cost stays bounded.
 const SLIP: f64 = 150_000.0; // A start later by this much than estimated has slipped.
 const ADVICE: Micros = 100_000; // Shortest retry advice.
@@ -369,30 +371,37 @@
     /// Few engines, where many gateways choose from equally stale views: the homes of the table group, which
     /// all reckon alike, then some at random, against herds.
     fn narrow(&mut self, now: Micros, id: QueryId, eligible: &mut Vec<EngineId>) -> usize {
-        let asked = &self.jobs[&id].asked;
+        let (asked, young) = (&self.jobs[&id].asked, |e: &Engine| self.warmth(now, e) < 1.0);
         if eligible.iter().any(|e| asked.contains(e)) {
             eligible.retain(|e| asked.contains(e));
             return 0;
         }
+        if eligible.iter().any(|e| young(&self.engines[e])) {
+            // A cold engine is here by a chance of its own: a second draw would leave it idle.
+            eligible.retain(|e| young(&self.engines[e]));
+            return 0;
+        }
         let tables = u64::from(self.jobs[&id].query.tables);
         let homes = if self.told() { HOMES.min(eligible.len()) } else { 0 };
         eligible.sort_by_cached_key(|e| Random(e.0 ^ tables << 48).below(usize::MAX));
         // A home that nobody has heard would take a whole group's queries, however full.
-        let heard = |e: &Engine| self.fresh(now, e).is_some() || self.warmth(now, e) < 1.0;
+        let heard = |e: &Engine| self.fresh(now, e).is_some();
         eligible[..homes].sort_by_key(|e| !heard(&self.engines[e]));
         let homes = eligible[..homes].iter().filter(|e| heard(&self.engines[e])).count();
         // Each gateway has a circle of its own, the same while its engines are well; large engines take more.
         eligible[homes..].sort_by_cached_key(|e| Random(e.0 ^ self.salt).below(usize::MAX));
         let circle = eligible.len().min(homes + CIRCLE);
-        let cores: Vec<f64> = eligible.iter().map(|e| self.cores(&self.engines[e])).collect();
-        self.random.draw_weighted(&mut eligible[homes..circle], &cores[homes..circle], DRAWN);
-        // A cold engine is here by a chance of its own: a second draw would leave it idle.
-        let mut rest = eligible.split_off(eligible.len().min(homes + DRAWN));
-        rest.retain(|e| self.warmth(now, &self.engines[e]) < 1.0);
-        eligible.extend(rest);
+        let weights: Vec<_> = eligible[homes..circle].iter().map(|e| self.weight(&self.engines[e])).collect();
+        self.random.draw_weighted(&mut eligible[homes..circle], &weights, DRAWN);
+        eligible.truncate(homes + DRAWN);
         homes
     }
 
+    /// Chance to be drawn: by cores and believed pace, as a mean run fits most aims even on a slow engine.
+    fn weight(&self, e: &Engine) -> f64 {
+        self.cores(e) / (e.slow / self.tally.pace).max(0.5).powi(2)
+    }
+
     /// Engines that may get a query: allowed by the rules, and healthy if any of those is.
     fn eligible(&self, now: Micros, id: QueryId) -> Vec<EngineId> {
         let job = &self.jobs[&id];
@@ -409,7 +418,8 @@
             let bad = now < e.shut_until || e.on_trial && (!e.out.is_empty() || c.effect == Effect::Unsafe);
             let behind_load = (c.load || c.waits_for_loads) && self.holds_group(e, job.query.tables);
             let full = self.sliver() && e.full_at.is_some_and(|t| now < t + FULL_FOR);
-            let poor = job.avoid.contains(&eid) || behind_load || full;
+            let lost = self.tally.lost.get(&e.zone).is_some_and(|l| l.len() >= LOST);
+            let poor = job.avoid.contains(&eid) || behind_load || full || lost;
             allowed.push((eid, u8::from(bad) * 2 + u8::from(poor)));
         }
         // A trouble that shuts every engine must not stop all traffic: then the least bad are eligible.
@@ -461,9 +471,10 @@
             return recent + weight <= whole / f64::from(self.cfg.gateways.max(1));
         }
         // A sliver is under one query: each has a chance by the window; all used, they fill the budget.
-        let chance = whole / (self.tally.cores * CAPACITY * RUSH * cold.window as f64);
+        let fit = (COLD_WHOLE * whole / weight).min(1.0).powi(3) * (self.weight(e) / self.cores(e)).min(1.0);
+        let chance = fit * whole / (self.tally.cores * CAPACITY * RUSH * cold.window as f64);
         let draw = Random(id.0 ^ e.born.unwrap_or(0) ^ ((now / cold.window.max(1)) << 40)).below(1 << 20);
-        weight.max(recent) <= COLD_WHOLE * whole && (draw as f64) < chance * (1 << 20) as f64
+        recent <= COLD_WHOLE * whole && weight <= whole / 2.0 && (draw as f64) < chance * (1 << 20) as f64
     }
 
     /// The rule weighs a query by its class's usual work; before any was seen, by all of its aim.
@@ -705,8 +716,8 @@
     fn on_note(&mut self, now: Micros, id: QueryId, attempt: u8, note: Note) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(t) = job.tries.get_mut(usize::from(attempt)) else { return };
-        let Some(e) = self.engines.get_mut(&t.engine) else { return };
-        e.heard = now;
+        let engine = t.engine;
+        let Some(e) = self.engines.get_mut(&engine) else { return };
         match note {
             Note::Progress(done) => {
                 t.blocked = false;
@@ -715,6 +726,7 @@
             Note::WaitsForLoad => t.blocked = true,
             Note::WaitsForMemory | Note::Spills(_) => e.full_at = Some(now),
         }
+        self.hears(now, engine);
     }
 
     fn on_end(&mut self, now: Micros, end: &Ended, act: &mut Actions) {
@@ -798,21 +810,26 @@
             self.tally.pace *= (ratio / self.tally.pace).powf(BLEND);
             // With a sliver answers of one engine are rare: each then says more.
             e.slow *= (ratio / e.slow).powf(if sliver { 3.0 * BLEND } else { BLEND });
-            (e.slow_at, e.heard, e.failures) = (now, now, 0);
+            (e.slow_at, e.failures) = (now, 0);
             if e.on_trial && e.lost {
                 // It was gone and answers: it may have restarted without word, so it counts as cold.
                 e.born = Some(now);
             }
             (e.on_trial, e.lost, e.shut_until) = (false, false, 0);
         }
+        self.hears(now, engine);
     }
 
     /// A failure of the engine itself: leaves it alone for a while, then tries it with one query at a time.
     fn failed(&mut self, now: Micros, engine: EngineId, outcome: Outcome, act: &mut Actions) {
+        let sliver = self.sliver();
         let Some(e) = self.engines.get_mut(&engine) else { return };
         if outcome == Outcome::Full {
-            (e.full_at, e.heard) = (Some(now), now);
-            return;
+            e.full_at = Some(now);
+            return self.hears(now, engine);
+        }
+        if matches!(outcome, Outcome::Unreachable | Outcome::TimedOut) {
+            self.tally.lost.entry(e.zone).or_default().insert(engine);
         }
         // What else ends while it rests is the same failure, unless it tells more: that it can't be reached.
         e.lost |= outcome == Outcome::Unreachable;
@@ -822,6 +839,7 @@
         // One error may be the query's; two in a row are the engine's.
         e.failures += 1;
         if outcome == Outcome::Error && e.failures < 2 {
+            (e.slow, e.slow_at) = ((e.slow * if sliver { ERRING } else { 1.0 }).min(CLIP), now);
             return;
         }
         e.shut_until = now + (SHUT << (e.failures - 1).min(4));
@@ -841,9 +859,11 @@
 
     fn on_probe(&mut self, now: Micros, id: EngineId, outcome: Outcome, report: &[f64], act: &mut Actions) {
         self.take_report(now, id, report);
+        if outcome == Outcome::Ok {
+            self.hears(now, id);
+        }
         match (outcome, self.engines.get_mut(&id)) {
             (Outcome::Ok, Some(e)) => {
-                e.heard = now;
                 if !e.on_trial && now < e.shut_until {
                     // Only a connection had broken.
                     e.shut_until = 0;
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -267,6 +267,8 @@
     pub share: f64,
     /// Cores of the ready engines, as far as they are warm.
     pub cores: f64,
+    /// Engines of a zone that were lost since anything there was last heard.
+    pub lost: BTreeMap<u16, BTreeSet<EngineId>>,
     /// Own threads and work left, over all engines.
     pub running: f64,
     pub left: f64,
@@ -476,6 +478,10 @@
     /// starts with a clean record, but keeps what is queued and out.
     pub(crate) fn record_list(&mut self, now: Micros, kind: ListKind, list: &[Listed]) -> Vec<EngineId> {
         for l in list {
+            if l.born.is_some() && l.phase == Phase::Ready {
+                // Somebody there started anew: the zone is no longer lost as a whole.
+                self.tally.lost.remove(&l.zone);
+            }
             let e = self.engines.entry(l.engine).or_insert_with(|| Engine::new(l, now));
             (e.zone, e.kind, e.cell, e.phase) = (l.zone, l.kind, l.cell, l.phase);
             if e.listed_born != l.born {
@@ -496,6 +502,7 @@
     pub(crate) fn drop_if_gone(&mut self, id: EngineId) {
         if self.engines.get(&id).is_some_and(|e| e.phase == Phase::Gone && e.out.is_empty()) {
             self.engines.remove(&id);
+            self.tally.lost.values_mut().for_each(|lost| lost.retain(|&e| e != id));
         }
     }
 
@@ -626,6 +633,14 @@
         self.engines.values().filter(|e| e.phase == Phase::Ready)
     }
 
+    /// Something came from an engine: it lives, and so does its zone.
+    pub(crate) fn hears(&mut self, now: Micros, engine: EngineId) {
+        if let Some(e) = self.engines.get_mut(&engine) {
+            e.heard = now;
+            self.tally.lost.remove(&e.zone);
+        }
+    }
+
     pub(crate) fn take_report(&mut self, now: Micros, engine: EngineId, values: &[f64]) {
         if let Some(e) = self.engines.get_mut(&engine).filter(|_| !values.is_empty()) {
             e.report = Some(Report::read(now, &self.cfg.report_fields, values));
--- a/crates/fernlink/tests/crowd.rs
+++ b/crates/fernlink/tests/crowd.rs
@@ -85,6 +85,53 @@
     assert_eq!(after.keys().filter(|e| !one.contains_key(e)).count(), 1, "{one:?} {after:?}");
 }
 
+#[test]
+fn two_lost_engines_of_a_zone_with_no_word_from_it_tell_of_the_whole_zone() {
+    let list: Vec<Listed> = (1..=20).map(|e| Listed { zone: (e % 2) as u16, ..listed(e) }).collect();
+    let mut rig = Rig::new(sliver(), &list);
+    let mut lost = std::collections::BTreeSet::new();
+    let mut ask = |rig: &mut Rig, down: bool| {
+        let (q, act) = rig.arrive(0, 100 * MS, 3);
+        let (mut to, mut attempt) = (sends(&act)[0].1, 0);
+        while down && to % 2 == 1 {
+            lost.insert(to);
+            to = sends(&rig.end(q, attempt, Outcome::Unreachable, 250 * MS))[0].1;
+            attempt += 1;
+        }
+        rig.end(q, attempt, Outcome::Ok, 100 * MS);
+        to
+    };
+    let all: Vec<u64> = (0..60).map(|_| ask(&mut rig, true)).collect();
+    assert!(all.iter().all(|e| e % 2 == 0));
+    // Anything heard from there ends the belief.
+    rig.event(Event::Probed(EngineId(19), Outcome::Ok, &[0.1]));
+    assert!((0..60).any(|_| ask(&mut rig, false) % 2 == 1));
+    assert_eq!(lost.len(), 2, "{lost:?}");
+}
+
+#[test]
+fn an_engine_that_errs_or_runs_slow_now_and_then_draws_little() {
+    let list: Vec<Listed> = (1..=10).map(listed).collect();
+    for errs in [true, false] {
+        let mut rig = Rig::new(sliver(), &list);
+        let (mut bad, mut all) = (0, 0);
+        for _ in 0..600 {
+            let (q, act) = rig.arrive(0, 100 * MS, 3);
+            let mut to = sends(&act)[0].1;
+            let mut attempt = 0;
+            (bad, all) = (bad + usize::from(to == 1), all + 1);
+            if errs && to == 1 && bad % 2 == 1 {
+                to = sends(&rig.end(q, attempt, Outcome::Error, 10 * MS))[0].1;
+                attempt += 1;
+            }
+            // Three times as slow: within the aim by its mean.
+            rig.end(q, attempt, Outcome::Ok, if !errs && to == 1 { 300 * MS } else { 100 * MS });
+            rig.now += 50 * MS;
+        }
+        assert!(bad * 20 < all, "{bad} of {all} went there, errs: {errs}");
+    }
+}
+
 #[test]
 fn engines_unheard_of_draw_queries_by_their_cores() {
     let list: Vec<Listed> = (1..=60).map(|e| Listed { kind: (e % 2) as u16, ..listed(e) }).collect();
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -431,7 +431,16 @@
             let most = if self.streams > STREAMS_MANY { READ_AT_ONCE / 4 } else { READ_AT_ONCE };
             let end = match conn.link.read(&mut bytes, most) {
                 Ok(end) => end,
-                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+                Err(e) => {
+                    let (engine, idle) = (conn.engine, conn.is_idle());
+                    self.drop_engine(now, id, &e.to_string());
+                    if idle && !self.engines.values().any(|c| c.is_up_on(engine)) {
+                        // Nothing was out to be lost, so only this tells that its process may have ended.
+                        self.core.doubted(now, engine);
+                        self.carry_out();
+                    }
+                    return;
+                }
             };
             let (mut out, mut seen) = (Vec::new(), Vec::new());
             let mut fed = Ok(());
