--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -36,7 +36,7 @@
 const TELL_EVERY: Micros = 1_000_000; // Peers are told this often; after three periods unheard, halved.
 const TELLS: f64 = 0.5; // Messages that each query taken pays for, so that they don't grow with the peers.
 const PROBE_SPEND: f64 = 0.001; // Share of the result spent on probes, at most; tenfold where nothing else
-const PROBE_MOST: f64 = 1.0; // brings reports. Probes a query are this over their price, and at most so many.
+const PROBE_MOST: f64 = 1.0; // brings reports to few gateways. Probes a query: at most so many.
 const CROWD: [usize; 2] = [2, 5]; // Crowded: one in so many heard is pressed; the latter if none heals soon.
 const POOLED: f64 = 1.8; // A sliver's bound over the fleet, as a multiple; squared when unpressed.
 const ALONE: f64 = 0.12; // Others that hold less than this part of one's own each are down, not quiet.
@@ -680,7 +680,7 @@
         let (id, over_quota) = (query.id, self.over_quota(now, query.tenant));
         self.jobs.insert(id, Job { over_quota, ..Job::new(query, now) });
         self.tally.fresh_work += self.work(id);
-        let spend = PROBE_SPEND * if self.cfg.report_on_probe { 10.0 } else { 1.0 };
+        let spend = PROBE_SPEND * if self.cfg.report_on_probe && !self.sliver() { 10.0 } else { 1.0 };
         let probes = (spend / self.cfg.probe_price.max(1e-9)).min(PROBE_MOST);
         self.tally.probes = (self.tally.probes + probes).min(self.engines.len() as f64);
         self.tally.tells = (self.tally.tells + TELLS).min(f64::from(self.cfg.gateways));
@@ -746,13 +746,12 @@
                 }
                 self.learn(now, engine, end);
             }
-            // A query that no engine can use would shut them all: it is blamed until another serves it.
-            Outcome::Error if safe => {
-                job.avoid.insert(engine);
-            }
             Outcome::Full | Outcome::Error | Outcome::Unreachable | Outcome::Reset => {
                 job.avoid.insert(engine);
-                self.failed(now, engine, outcome, act);
+                // A query that no engine can use would shut them all: it is blamed until another serves it.
+                if outcome != Outcome::Error || !safe {
+                    self.failed(now, engine, outcome, act);
+                }
             }
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
@@ -888,6 +887,7 @@
         if self.cfg.may_message && now >= self.tally.last_tell + TELL_EVERY {
             self.tell(now, act);
         }
+        self.tally.probes += self.tally.lost.len() as f64 * TICK as f64 / TELL_EVERY as f64;
         self.tally.share = self.learn_share(now);
         let few = !self.sliver();
         for (id, e) in self.engines.iter_mut().filter(|_| few) {
@@ -976,7 +976,8 @@
         }
         probes.sort();
         // Queries that ask before they go come first.
-        let spare = self.tally.probes - if self.cfg.report_on_probe { (HOMES + DRAWN) as f64 } else { 0.0 };
+        let ask = self.cfg.report_on_probe && self.tally.lost.is_empty();
+        let spare = self.tally.probes - if ask { (HOMES + DRAWN) as f64 } else { 0.0 };
         probes.truncate(spare.max(0.0) as usize);
         let due: Vec<EngineId> = probes.into_iter().map(|p| p.2).collect();
         self.probe(now, &due, act);
