--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -30,6 +30,11 @@
 /// Where notes come with work out, a connection that is this much late with them counts as silent: new work
 /// goes by another one, whose connect shows at once whether the engine can be reached.
 const NOTE_LATE: Micros = 600_000;
+/// So many attempts that an engine says nothing of are more than chance; of fewer, while others of its zone are heard,
+/// notes may be this many times as late: an engine short of memory says nothing of what waits there, and a whole
+/// fleet that took its few attempts back would have it do all its work twice.
+const SILENT_MANY: usize = 3;
+const LONE_TIMES: Micros = 3;
 /// Where no notes come, only a probe that nothing answers for this long shows that.
 const PROBE_LATE: Micros = 1_600_000;
 /// An engine that tells nothing by itself is probed after this long without a word.
@@ -53,6 +58,7 @@
 /// An engine's connection.
 pub(super) struct EngineConn {
     engine: EngineId,
+    zone: Option<u16>,
     link: Link,
     token: Option<RegistrationToken>,
     session: Box<dyn Session>,
@@ -122,6 +128,11 @@
     }
 }
 
+/// How often word is due where so many attempts are out on an engine and others of its zone are heard, or not.
+fn note_patience(every: Micros, out: usize, zone_heard: bool) -> Micros {
+    every * if out < SILENT_MANY && zone_heard { LONE_TIMES } else { 1 }
+}
+
 impl Node {
     /// A connection with room, the least loaded one; else a new one. What must not run twice goes alone, so
     /// that no answer to another can spoil it.
@@ -132,7 +143,7 @@
         call: Option<&str>,
         alone: bool,
     ) -> Result<ConnId, Cause> {
-        let (idle, notes) = (self.config.idle, self.config.settings.notes_every);
+        let (idle, notes) = (self.config.idle, self.notes_due(now, engine));
         let heard = self.heard_of(engine);
         let fits = |c: &EngineConn| {
             c.engine == engine
@@ -178,6 +189,7 @@
         let token = self.register(stream.clone(), Source::Engine(id)).map_err(|_| Cause::TurnedAway)?;
         let conn = EngineConn {
             engine,
+            zone: self.roster.zone(engine),
             link: Link::new(stream),
             token: Some(token),
             session,
@@ -202,6 +214,17 @@
         self.engines.values().filter(|c| c.engine == engine).map(|c| c.read).max().unwrap_or(0)
     }
 
+    /// How often word is due of what is out on an engine, where notes come.
+    fn notes_due(&self, now: Micros, engine: EngineId) -> Option<Micros> {
+        let every = self.config.settings.notes_every?;
+        let conns = || self.engines.values().filter(|c| c.engine == engine);
+        let zone = conns().find_map(|c| c.zone);
+        let heard =
+            self.engines.values().filter(|c| c.zone == zone && c.engine != engine).map(|c| c.read).max();
+        let zone_heard = heard.is_some_and(|at| now < at + every + NOTE_LATE);
+        Some(note_patience(every, conns().map(EngineConn::load).sum(), zone_heard))
+    }
+
     pub(super) fn send(&mut self, now: Micros, key: AttemptKey, engine: EngineId, moves: u8) {
         let Some(ask) = self.core.taken(key.request).map(|t| t.ask) else { return };
         let call = ask.call.clone();
@@ -587,7 +610,7 @@
     }
 
     pub(super) fn sweep_engines(&mut self, now: Micros) {
-        let (idle, notes, stall) = (self.config.idle, self.config.settings.notes_every, self.config.stall);
+        let (idle, stall) = (self.config.idle, self.config.stall);
         self.check_engines(now);
         self.streams = self.engines.values().filter(|c| c.session.is_streaming()).count();
         let over = |c: &EngineConn| {
@@ -597,7 +620,7 @@
             // A probe that no answer comes to must not hold its connection for ever. Where notes come, what is
             // out on a silent connection is lost: it ends, to be tried elsewhere, but for what must not run
             // twice, which may still be answered once the engine can be reached again.
-            let silent = c.is_silent(now, notes, self.heard_of(c.engine));
+            let silent = c.is_silent(now, self.notes_due(now, c.engine), self.heard_of(c.engine));
             if silent && (c.session.load() == 0 && c.waiting.is_empty() || !c.alone) {
                 return Some("silent");
             }
@@ -620,7 +643,15 @@
 
 #[cfg(test)]
 mod tests {
-    use super::is_overdue;
+    use super::{is_overdue, note_patience};
+
+    #[test]
+    fn one_query_without_word_is_not_taken_back_from_an_engine_whose_zone_is_heard() {
+        let overdue = |out, zone| is_overdue(2_000_000, Some(note_patience(1_000_000, out, zone)), 0, false);
+        assert!(!overdue(1, true) && !overdue(2, true));
+        // Many of them, or a zone of which nothing is heard, mean what they did.
+        assert!(overdue(3, true) && overdue(1, false));
+    }
 
     #[test]
     fn silence_is_an_engine_s_not_one_connection_s() {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -213,6 +213,11 @@
         self.addrs.get(&engine).copied()
     }
 
+    /// An engine's zone, as it was last told.
+    pub fn zone(&self, engine: EngineId) -> Option<u16> {
+        self.names.get(&engine).and_then(|name| self.entries.get(name)).and_then(|e| Some(e.told?.zone))
+    }
+
     /// An engine's name.
     pub fn name(&self, engine: EngineId) -> Option<&str> {
         self.names.get(&engine).map(String::as_str)
