--- a/crates/fernlink/tests/crowd.rs
+++ b/crates/fernlink/tests/crowd.rs
@@ -118,7 +118,7 @@
     let list: Vec<Listed> = (1..=2).map(listed).collect();
     let mut rig = Rig::new(Settings { may_probe: true, ..sliver() }, &list);
     assert_eq!(probes(&rig.event(Event::Probed(EngineId(1), Outcome::Reset, &[]))), [1]);
-    let mut ask = |rig: &mut Rig| {
+    let ask = |rig: &mut Rig| {
         let (q, act) = rig.arrive(0, 100 * MS, 3);
         rig.end(q, 0, Outcome::Ok, 100 * MS);
         sends(&act)[0].1
