--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod commands;
 mod json;
 pub mod key;
+pub mod management;
 pub mod snapshot;
 
 pub use json::Field;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod admit;
 mod book;
+pub mod lifecycle;
 mod relay;
 mod route;
 mod running;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -533,6 +533,14 @@
     bytes
 }
 
+/// Makes a response's bytes, as [`response_head`] begins them, tell that the connection closes behind it.
+pub fn tell_close(response: &mut Vec<u8>) {
+    let Some(head) = response.windows(4).position(|w| w == b"\r\n\r\n") else { return };
+    if !response[..head + 2].ends_with(b"\r\nConnection: close\r\n") {
+        response.splice(head + 2..head + 2, *b"Connection: close\r\n");
+    }
+}
+
 /// Writes one chunk of a body that comes in chunks; an empty one would end it, so it is left out.
 pub fn chunk(piece: &[u8]) -> Vec<u8> {
     if piece.is_empty() {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -81,6 +81,8 @@
     pub control: Option<PathBuf>,
     /// The same on loopback, and the key that has to be known there.
     pub control_port: Option<(SocketAddr, Vec<u8>)>,
+    /// The second address, for the operators' line protocol.
+    pub management: Option<String>,
     /// The folder for what is to outlive a restart.
     pub state: Option<PathBuf>,
 }
@@ -198,6 +200,8 @@
                 Some((addr, key.trim().as_bytes().to_vec()))
             }
         };
+        let told = || std::env::var("LB_MANAGEMENT").ok();
+        let management = root.get("management").text().map(String::from).or_else(told);
         let seed = root.get("seed").text().unwrap_or_default();
         Ok(Config {
             file: None,
@@ -237,6 +241,7 @@
             settings,
             control: root.get("control").text().map(PathBuf::from),
             control_port,
+            management: management.filter(|at| !at.is_empty()),
             state: root.get("state").text().map(PathBuf::from),
         })
     }
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -5,7 +5,7 @@
 use crate::net::{out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::{Micros, Phase, RequestId};
-use driftfront_http::{response, Fault, RequestReader};
+use driftfront_http::{response, tell_close, Fault, RequestReader};
 use fernlink::interface::Effect;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind};
@@ -62,6 +62,8 @@
     current: Option<(RequestId, Box<dyn AnswerWriter>)>,
     /// The last request asked for a close, or a fault makes one due.
     close: bool,
+    /// Something of the open request's answer has been written.
+    answering: bool,
     /// What the request that is being read holds of the budget for bodies.
     kept: usize,
     /// Our side is shut; what still comes is dropped.
@@ -85,6 +87,12 @@
         self.link.backlog() > 0
     }
 
+    /// Nothing is open on it, or on its way, that a close in order would hurt.
+    fn may_close(&self) -> bool {
+        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
+        !open && !self.reader.is_within()
+    }
+
     /// How ripe a connection is for an end where descriptors are short; `None` if it must stay.
     fn ripe(&self, now: Micros) -> Option<Micros> {
         let open = self.current.is_some() || self.is_writing() || self.reader.is_within() && !self.fresh;
@@ -117,7 +125,7 @@
     /// Takes connections in while there is room; what has to wait is looked at again with each sweep.
     pub(super) fn accept(&mut self, now: Micros) {
         let most = self.config.sockets * PART_OF_SOCKETS / 100;
-        loop {
+        while self.life.accepts() {
             if self.clients.len() >= most && !self.drop_ripest(now) {
                 return;
             }
@@ -151,6 +159,7 @@
                         current: None,
                         kept: 0,
                         close: false,
+                        answering: false,
                         shut: false,
                         more: true,
                         continued: false,
@@ -412,7 +421,7 @@
                 self.reply(id, &bytes);
             }
             Intake::Ready(yes, no) => {
-                let ready = self.core.has_engines() && self.stop_at.is_none();
+                let ready = self.is_ready();
                 self.reply(id, if ready { &yes } else { &no });
             }
             Intake::Kill(kill) => self.kill(now, id, *kill),
@@ -481,8 +490,14 @@
     }
 
     fn reply(&mut self, id: ConnId, bytes: &[u8]) {
+        let away = self.life.sends_away();
         if let Some(client) = self.clients.get_mut(&id) {
-            client.link.push(bytes);
+            let mut bytes = bytes.to_vec();
+            if away {
+                tell_close(&mut bytes);
+                client.close = true;
+            }
+            client.link.push(&bytes);
             let _ = client.link.flush();
         }
     }
@@ -510,11 +525,17 @@
         let Some((_, writer)) = &mut client.current else { return };
         let mut bytes = Vec::new();
         let after = write(writer.as_mut(), &mut bytes);
+        let first = !bytes.is_empty() && !std::mem::replace(&mut client.answering, true);
+        if self.life.sends_away() && first {
+            tell_close(&mut bytes);
+        }
         client.link.push(&bytes);
         (client.used, client.begun) = (now, now);
         if last {
             tracing::debug!(request = request.0, conn = id, bytes = bytes.len(), "answered");
             client.current = None;
+            client.answering = false;
+            client.close |= self.life.sends_away();
             self.asking.remove(&request);
             // What of a body still comes could not be told from the next request.
             client.close |= after != After::Open || client.reader.body_goes_on();
@@ -549,6 +570,8 @@
             if late(client) {
                 self.tell_late(id);
                 self.drop_client(now, id);
+            } else if client.may_close() && !self.life.keeps(now, now.saturating_sub(client.used)) {
+                self.send_away(now, id);
             } else if client.shut {
                 let end = client.link.read(&mut Vec::new(), LINGER_READ);
                 if !matches!(end, Ok(ReadEnd::Dry | ReadEnd::Enough)) {
@@ -561,6 +584,16 @@
         }
     }
 
+    /// Closes an idle connection in order: a request that crosses that is sent once more, elsewhere. What has come
+    /// already is taken first.
+    fn send_away(&mut self, now: Micros, id: ConnId) {
+        self.client_ready(now, id);
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.may_close()) else { return };
+        client.close = true;
+        self.sent_away += 1;
+        self.client_work(now, id);
+    }
+
     fn counters(&self) -> String {
         let connections = format!(
             "connections_clients {}\nconnections_engines {}\n",
@@ -570,7 +603,13 @@
         let bodies = format!("bodies_passing {}\nresults_paused {}\n", self.feeds.len(), self.paused);
         let (core, front) = (self.core.counters(), self.front.counters());
         let control = self.control.as_ref().map(|c| c.counters()).unwrap_or_default();
-        format!("{core}{connections}requests_open {}\n{bodies}{front}{control}", self.core.open())
+        let bans = self.roster.orders().len();
+        let state = self.life.state().word().replace(' ', "_");
+        let life = format!("state{{is=\"{state}\"}} 1\nengines_out_by_order {bans}\n");
+        let away = format!("connections_sent_away {}\n", self.sent_away);
+        let management = self.management.counters();
+        let open = self.core.open();
+        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}")
     }
 }
 
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -7,6 +7,7 @@
 use calloop::RegistrationToken;
 use driftfront_control::snapshot::{Class, Engine, Query, Roll as RollView, Snapshot};
 use driftfront_control::{greeting, key, Field, Lines, Reply, Request, LINE_MOST};
+use driftfront_core::lifecycle::State;
 use driftfront_core::{EngineId, Micros, Phase};
 use driftfront_roster::record::Record;
 use driftfront_roster::roll::{Act, EngineSight, Roll, Sight};
@@ -464,7 +465,7 @@
         }
     }
 
-    fn write_down(&mut self, now: Micros, records: Vec<Record>) -> Kept {
+    pub(super) fn write_down(&mut self, now: Micros, records: Vec<Record>) -> Kept {
         let Some(control) = &mut self.control else { return Kept::NoFolder };
         let Some(state) = &mut control.state else { return Kept::NoFolder };
         let number = state.append(records);
@@ -792,8 +793,8 @@
             up_s: seconds(control.map_or(now, |c| c.begun)),
             listen: self.listener.local_addr().map_or(self.config.listen, |a| a).to_string(),
             front: format!("{:?}", self.config.wire),
-            ready: self.core.has_engines() && self.stop_at.is_none(),
-            stopping: self.stop_at.is_some(),
+            ready: self.is_ready(),
+            stopping: self.life.state() == State::Ending,
             source,
             source_age_s: age.map(|a| a / 1_000_000),
             forgets: if kept {
@@ -823,7 +824,7 @@
     since: Micros,
 }
 
-enum Kept {
+pub(super) enum Kept {
     /// Its end is told under this number.
     Coming(u64),
     NoFolder,
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -6,7 +6,7 @@
 use crate::config::Wire;
 use crate::net::{connect, out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
-use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome, Progress};
+use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome, Phase, Progress};
 use fernlink::interface::Effect;
 use std::collections::{BTreeMap, VecDeque};
 use std::io::ErrorKind;
@@ -330,6 +330,13 @@
                 Work::Attempt(..) => conn.session.load() == 0,
             };
             match work {
+                // The engine was taken out while the connection came up: nothing new, not even a question.
+                Work::Probe(tag)
+                    if tag != CHECK_TAG && self.core.phase(conn.engine) != Some(Phase::Ready) =>
+                {
+                    self.core.probed(now, tag, Outcome::Moot, &[]);
+                    continue;
+                }
                 Work::Probe(tag) => conn.session.probe(tag, &mut out),
                 Work::Attempt(key, _) => {
                     self.core.reached(key, Progress::Connected);
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod control;
 mod engines;
 mod feed;
+mod management;
 
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
 use crate::config::{Config, Wire};
@@ -16,6 +17,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use driftfront_core::lifecycle::{Lifecycle, State};
 use driftfront_core::{Command, Core, EngineId, ListKind, Micros, Phase, RequestId};
 use driftfront_roster::{Change, Roster};
 use driftfront_settings::json::Json;
@@ -28,8 +30,6 @@
 
 /// Connections are looked over this often: connect time-outs, idle ends, accepts that were put off.
 const SWEEP: Micros = 25_000;
-/// After SIGTERM new requests may come for this long: 0.4 s of connections, 0.2 s more on them, and spare.
-const LINGER: Micros = 800_000;
 
 /// A connection's number inside this program; never used twice.
 type ConnId = u64;
@@ -65,7 +65,10 @@
     later: Vec<Source>,
     /// Commands are being carried out.
     carrying: bool,
-    stop_at: Option<Micros>,
+    life: Lifecycle,
+    management: management::Management,
+    /// Clients' connections closed since the process is paused or hands over.
+    sent_away: u64,
 }
 
 /// What a readiness event is for.
@@ -77,6 +80,8 @@
     Feed(ConnId),
     Operators(usize),
     Operator(ConnId),
+    Management,
+    Caller(ConnId),
 }
 
 impl Node {
@@ -90,6 +95,7 @@
             Wire::ClickHouse => Box::new(ClickHouse::new(classes, config.clickhouse, config.seed)),
         };
         let now = unix_now();
+        let longest = config.classes.patience.iter().copied().max().unwrap_or(0);
         let mut node = Node {
             core: Core::new(config.settings.clone(), config.limits, config.seed),
             handle: events.handle(),
@@ -111,11 +117,14 @@
             next_sweep: now,
             later: Vec::new(),
             carrying: false,
-            stop_at: None,
+            life: Lifecycle::new(false, longest),
+            management: management::Management::default(),
+            sent_away: 0,
             config,
         };
         node.open_control()?;
         node.take_known();
+        node.open_management();
         let socket = node.listener.clone();
         node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
@@ -127,7 +136,7 @@
             }
             tracing::info!(signal = ?event.signal(), "stopping once all taken is answered");
             let now = node.clock();
-            node.stop_at.get_or_insert(now + LINGER);
+            node.life.end(now);
         };
         events.handle().insert_source(signals, on_signal).map_err(|e| format!("signals: {e}"))?;
         Ok(node)
@@ -136,7 +145,8 @@
     /// Runs until a signal has asked for the end and all that was taken is answered.
     pub fn run(mut self, mut events: EventLoop<'static, Node>) -> Result<(), String> {
         let listen = self.listener.local_addr().map_or(self.config.listen, |a| a);
-        tracing::info!(name = %self.config.name, %listen, "serving");
+        let management = self.management.addr().map(tracing::field::display);
+        tracing::info!(name = %self.config.name, management, %listen, "serving");
         loop {
             self.guard("timers", Node::on_time);
             if self.may_end() {
@@ -194,6 +204,7 @@
 
     fn on_ready(&mut self, source: Source, _readiness: Readiness) {
         let now = self.clock();
+        self.look_at_management(now);
         match source {
             Source::Listener => self.accept(now),
             Source::Client(id) => self.client_ready(now, id),
@@ -201,6 +212,8 @@
             Source::Feed(id) => self.feed_ready(now, id),
             Source::Operators(place) => self.accept_operators(place),
             Source::Operator(id) => self.operator_ready(id),
+            Source::Management => self.accept_callers(now),
+            Source::Caller(id) => self.caller_ready(now, id),
         }
         self.carry_out();
     }
@@ -213,8 +226,9 @@
             Source::Client(id) => self.drop_client(now, id),
             Source::Engine(id) => self.drop_engine(now, id, "a panic"),
             Source::Feed(_) => self.drop_feed(now, "a panic", Broken::Off),
-            Source::Operators(_) => {}
+            Source::Operators(_) | Source::Management => {}
             Source::Operator(id) => self.drop_operator(id),
+            Source::Caller(id) => self.drop_caller(id),
         }
         self.carry_out();
     }
@@ -229,7 +243,7 @@
                     self.engine_write(now, id);
                     self.engine_read(now, id);
                 }
-                Source::Listener | Source::Feed(_) | Source::Operators(_) | Source::Operator(_) => {}
+                _ => {}
             }
         }
         self.carry_out();
@@ -241,13 +255,53 @@
             self.sweep_feed(now);
             self.front.tend(now);
             self.tend_control(now);
+            self.sweep_callers(now);
+            self.tend_life(now);
             self.carry_out();
         }
     }
 
     fn may_end(&self) -> bool {
-        let time = self.stop_at.is_some_and(|at| self.now >= at);
-        time && self.core.open() == 0 && self.clients.values().all(|c| !c.is_writing())
+        let writing = self.clients.values().any(|c| c.is_writing());
+        self.life.may_end(self.now, self.core.open(), self.clients.len(), writing)
+    }
+
+    /// What `/alive` and STATUS both say.
+    fn is_ready(&self) -> bool {
+        self.life.is_ready() && self.core.has_engines()
+    }
+
+    /// An operator sends the clients away; what to tell of it.
+    fn pause(&mut self, now: Micros, by: &str) -> String {
+        if self.life.pause(now) {
+            self.told(now, format!("Paused by {by}: clients are sent away, what was taken is answered"));
+        }
+        self.life.state().word().into()
+    }
+
+    /// An operator calls it back to work; what to tell of it.
+    fn back_to_work(&mut self, now: Micros, by: &str) -> String {
+        if self.life.resume() {
+            self.told(now, format!("Back to work, by {by}"));
+        }
+        self.life.state().word().into()
+    }
+
+    /// For the log, and for operators.
+    fn told(&mut self, now: Micros, words: String) {
+        match self.control {
+            Some(_) => self.event(now, words),
+            None => tracing::info!("{words}"),
+        }
+    }
+
+    fn tend_life(&mut self, now: Micros) {
+        if self.life.state() == State::Starting && self.core.has_engines() {
+            self.life.begin();
+        }
+        if self.life.look(self.clients.len()) {
+            self.told(now, "Drained: no client is left".into());
+        }
     }
 
     /// Carries out what the core asks for, until it asks for nothing more.
@@ -330,6 +384,7 @@
         }
         let now = self.clock();
         self.core.engines(now, ListKind::Cached, &lines);
+        self.tend_life(now);
         self.carry_out();
     }
 
@@ -352,6 +407,7 @@
         for words in &change.words {
             self.event(now, words.clone());
         }
+        self.tend_life(now);
         self.carry_out();
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the program itself on loopback against stand-ins. Waits are for events, never for a time.
 #![allow(dead_code)]
 
+pub mod lines;
 pub mod site;
 
 use driftfront_http::{header, Header, ResponsePart, ResponseReader};
@@ -34,6 +35,8 @@
 pub struct Coordinator {
     child: Child,
     pub addr: SocketAddr,
+    /// Its second address, if it has one.
+    pub management: Option<SocketAddr>,
     files: Vec<PathBuf>,
 }
 
@@ -59,11 +62,12 @@
             assert!(log.read_line(&mut line).expect("a log") > 0, "the program ended");
         }
         let addr = line.trim().rsplit("listen=").next().and_then(|a| a.parse().ok()).expect("an address");
+        let management = line.split("management=").nth(1).and_then(|l| l.split(' ').next()?.parse().ok());
         std::thread::spawn(move || {
             let mut rest = String::new();
             let _ = log.read_to_string(&mut rest);
         });
-        Coordinator { child, addr, files: vec![path] }
+        Coordinator { child, addr, management, files: vec![path] }
     }
 
     /// One of the counters, by name.
@@ -90,6 +94,16 @@
         }
     }
 
+    /// The reply to one call at its second address.
+    pub fn manage(&self, line: &str) -> String {
+        let mut stream = TcpStream::connect(self.management.expect("a second address")).expect("it listens");
+        stream.set_read_timeout(Some(FOR_EVER)).expect("a timeout");
+        stream.write_all(line.as_bytes()).expect("it reads");
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).expect("a reply");
+        reply
+    }
+
     /// Asks it to end as the platform does.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- /dev/null
+++ b/crates/node/tests/daily.rs
@@ -0,0 +1,139 @@
+//! Daily operation: calls at the second address, engines taken out and put back, clients sent away.
+
+mod common;
+
+use common::lines::Site;
+use common::{get, read_next, FOR_EVER};
+use driftfront_http::ResponseReader;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+/// A second address beside whatever else a site has.
+fn managed(config: String) -> String {
+    config.replacen('{', "{\"management\": \"127.0.0.1:0\",", 1)
+}
+
+fn lookup(n: u64) -> String {
+    let statement = format!("SELECT {n}");
+    format!(
+        "POST /ops/lookup HTTP/1.1\r\nHost: t\r\nX-Call-Id: {n:016x}\r\nX-Patience-Ms: 2500\r\n\
+         Content-Length: {}\r\n\r\n{statement}",
+        statement.len()
+    )
+}
+
+/// Until the other side has ended the connection in order; nothing but that may come.
+fn wait_for_end(stream: &mut TcpStream) {
+    stream.set_read_timeout(Some(FOR_EVER)).unwrap();
+    assert_eq!(stream.read(&mut [0; 16]).expect("an end in order"), 0);
+}
+
+#[test]
+fn a_good_call_is_answered_beside_callers_that_say_nothing_or_nonsense() {
+    let site = Site::set(1, managed);
+    let addr = site.coordinator.management.unwrap();
+    let mut stalled: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(addr).unwrap()).collect();
+    for stream in &mut stalled[..20] {
+        stream.write_all(b"SUSP").unwrap();
+    }
+    assert_eq!(site.coordinator.manage("STATUS\r\n"), "OK ready\n");
+    for bad in ["status\n", "SUSPEND\n", "PAUSE now\n", "\n", "SUSPEND unknown\n", "RESTORE unknown\n"] {
+        let reply = site.coordinator.manage(bad);
+        assert!(reply.starts_with("ERR ") && reply.matches('\n').count() == 1, "{bad:?}: {reply:?}");
+    }
+    let mut cut = TcpStream::connect(addr).unwrap();
+    cut.write_all(b"PAUSE").unwrap();
+    cut.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut reply = String::new();
+    cut.read_to_string(&mut reply).unwrap();
+    assert!(reply.starts_with("ERR the connection ended"), "{reply}");
+    assert_eq!(site.coordinator.manage("STATUS\n"), "OK ready\n");
+    // 40 stalled ones do not fit beside the rest: the oldest made room.
+    assert!(site.coordinator.counter("management_silent") >= 8);
+    assert_eq!(site.coordinator.counter("management_bad"), 5);
+}
+
+#[test]
+fn an_address_that_cannot_be_had_keeps_nobody_from_being_served() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = format!("{{\"management\": \"{}\",", taken.local_addr().unwrap());
+    let site = Site::set(1, |config| config.replacen('{', &at, 1));
+    assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
+    let none = Site::set(1, |config| config.replacen('{', "{\"management\": \"nowhere\",", 1));
+    assert_eq!((none.coordinator.management, none.ask("lookup", 2500, "SELECT 1").status), (None, 200));
+}
+
+#[test]
+fn an_engine_that_is_taken_out_gets_nothing_whatever_the_list_says_until_it_is_put_back() {
+    let site = Site::set(2, managed);
+    let manage = |call: &str| site.coordinator.manage(call);
+    let asked = |from: u64, n: u64| {
+        for n in from..from + n {
+            assert_eq!(site.ask("lookup", 2500, &format!("SELECT {n}")).status, 200);
+        }
+        (from..from + n)
+            .filter(|n| site.ledger.of(&format!("SELECT {n}")).iter().any(|e| e.engine == "0"))
+            .count()
+    };
+    assert!(asked(1000, 30) > 0);
+    assert_eq!(manage("SUSPEND e0\n"), "OK e0 is drained: nothing new goes there\n");
+    assert_eq!(manage("SUSPEND e0\n"), "OK e0 is drained: nothing new goes there, as before\n");
+    assert_eq!(asked(2000, 30), 0);
+    // It goes, and comes back as a new process; an order about it may come while it is gone, too.
+    let lists = site.coordinator.counter("lists_taken");
+    site.tell(&["gone", "ready"], "");
+    site.coordinator.wait_for("lists_taken", lists + 1);
+    assert!(manage("SUSPEND e0\n").starts_with("OK") && manage("SUSPEND e00\n").starts_with("ERR"));
+    site.tell(&["ready", "ready"], "");
+    site.coordinator.wait_for("lists_taken", lists + 2);
+    assert_eq!(asked(3000, 30), 0);
+    assert_eq!(site.coordinator.counter("engines_out_by_order"), 1);
+    // The last one too: refused at once, with the time to come back.
+    assert!(manage("SUSPEND e1\n").starts_with("OK"));
+    let refused = site.ask("lookup", 2500, "SELECT none");
+    assert!(refused.status == 429 && refused.header("X-Come-Back-Ms").is_some());
+    assert_eq!(manage("STATUS\n"), "ERR no engine takes work\n");
+    assert!(manage("RESTORE e0\n").starts_with("OK") && manage("RESTORE e0\n").starts_with("OK"));
+    assert_eq!(asked(4000, 10), 10);
+    assert!(manage("RESTORE e1\n").starts_with("OK"));
+    site.ledger.assert_rules(1000);
+}
+
+#[test]
+fn a_paused_coordinator_sends_its_clients_away_loses_none_and_comes_back() {
+    let site = Site::set(1, managed);
+    let mut idle = TcpStream::connect(site.coordinator.addr).unwrap();
+    let mut fresh = TcpStream::connect(site.coordinator.addr).unwrap();
+    let mut busy = TcpStream::connect(site.coordinator.addr).unwrap();
+    let (mut of_idle, mut of_busy) = (ResponseReader::default(), ResponseReader::default());
+    idle.write_all(lookup(1).as_bytes()).unwrap();
+    assert_eq!(read_next(&mut idle, &mut of_idle).header("Connection"), None);
+    // Half of a request is out when the call comes: it is taken, answered, and told the close.
+    let (half, rest) = (lookup(2), 40);
+    busy.write_all(&half.as_bytes()[..rest]).unwrap();
+    assert_eq!(site.coordinator.manage("PAUSE\n"), "OK draining\n");
+    assert!(site.coordinator.manage("PAUSE\n").starts_with("OK"));
+    assert!(site.coordinator.manage("STATUS\n").starts_with("ERR"));
+    let alive = get(site.coordinator.addr, "/alive");
+    assert_eq!((alive.status, alive.header("Connection")), (503, Some("close")));
+    busy.write_all(&half.as_bytes()[rest..]).unwrap();
+    let answer = read_next(&mut busy, &mut of_busy);
+    assert_eq!((answer.status, answer.header("Connection")), (200, Some("close")));
+    [&mut idle, &mut fresh, &mut busy].into_iter().for_each(wait_for_end);
+    drop((idle, fresh, busy));
+    // Who comes all the same is served, and sent away again.
+    let late = site.ask("lookup", 2500, "SELECT late");
+    assert_eq!((late.status, late.header("Connection")), (200, Some("close")));
+    assert_eq!(site.coordinator.manage("RESUME\n"), "OK ready\n");
+    assert_eq!(get(site.coordinator.addr, "/alive").status, 200);
+    assert_eq!(site.ask("lookup", 2500, "SELECT again").header("Connection"), None);
+    assert!(site.coordinator.counter("connections_sent_away") >= 2);
+}
+
+#[test]
+fn a_paused_coordinator_ends_when_it_is_asked_to() {
+    let mut site = Site::set(1, managed);
+    site.coordinator.manage("PAUSE\n");
+    site.coordinator.terminate();
+    assert!(site.coordinator.wait().success());
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod roll;
 
 use fernlink::interface::{EngineId, ListKind, Listed, Phase};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -27,6 +27,11 @@
 pub const ENGINES_MOST: usize = 4096;
 /// Orders kept, also for engines that no source lists just now.
 pub const ORDERS_MOST: usize = 1024;
+/// Names that were ever listed, kept so that an order about an engine that is gone can be told from a mistyped one; the
+/// oldest go first.
+pub const NAMES_MOST: usize = 8192;
+/// Lifted orders whose time is kept: until then an engine counts as just started.
+const LIFTED_MOST: usize = 1024;
 /// Longest name of an engine.
 pub const NAME_MOST: usize = 128;
 
@@ -156,6 +161,9 @@
     pub words: Vec<String>,
 }
 
+/// What a command has changed, and what is to be written down of it.
+pub type Done = (Change, Vec<record::Record>);
+
 /// An engine as it counts, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -198,6 +206,11 @@
     addrs: BTreeMap<EngineId, SocketAddr>,
     names: BTreeMap<EngineId, String>,
     orders: BTreeMap<String, Standing>,
+    /// When orders were lifted: the engine may have been started anew meanwhile, whatever the list says by then.
+    lifted: BTreeMap<String, Micros>,
+    /// Names that were ever listed, and in which order they came.
+    ever: BTreeSet<String>,
+    ever_order: VecDeque<String>,
     /// Facts of sources that could not be used: the count tells that a bound bit.
     pub left_out: u64,
 }
@@ -311,6 +324,7 @@
         if holds && known.is_some_and(|k| k.addr != addr || before.is_some_and(|b| b.born != fact.born)) {
             change.restarted.push(id);
         }
+        self.remember(&name);
         let entry = Entry { id, addr, source: None, added: None, told: None };
         let entry = self.entries.entry(name.clone()).or_insert(entry);
         if holds {
@@ -326,6 +340,17 @@
         Ok(())
     }
 
+    /// A name has been listed.
+    fn remember(&mut self, name: &str) {
+        if self.ever.insert(name.into()) {
+            self.ever_order.push_back(name.into());
+        }
+        while self.ever_order.len() > NAMES_MOST {
+            let oldest = self.ever_order.pop_front();
+            oldest.map(|name| self.ever.remove(&name));
+        }
+    }
+
     /// The same engine has the same number at every coordinator and in every life.
     fn new_id(&self, name: &str) -> EngineId {
         let mut id = EngineId(hash(name.as_bytes()) & 0xffff_ffff_ffff);
@@ -350,7 +375,8 @@
                     kind: f.kind,
                     cell: f.cell,
                     phase,
-                    born: f.born,
+                    // Out by an order, it may have been started anew: the later of what is listed and the order's end.
+                    born: f.born.max(self.lifted.get(&name).copied()),
                 }),
                 None => last.map(|told| Listed { phase: Phase::Gone, ..told }),
             };
@@ -413,12 +439,7 @@
     }
 
     /// Carries out an operator's command; what is to be written down, so that it outlives a restart.
-    pub fn command(
-        &mut self,
-        now: Micros,
-        by: &str,
-        command: Command,
-    ) -> Result<(Change, Vec<record::Record>), Refusal> {
+    pub fn command(&mut self, now: Micros, by: &str, command: Command) -> Result<Done, Refusal> {
         use record::Record;
         let mut change =
             Change { kind: ListKind::Changes, lines: Vec::new(), restarted: Vec::new(), words: Vec::new() };
@@ -448,6 +469,7 @@
                     }
                 }
                 self.orders.remove(&engine);
+                self.lift(now, &engine);
                 records.push(Record::Lifted { engine });
             }
             Command::Add { fact } => {
@@ -466,6 +488,7 @@
                 }
                 if removed {
                     self.orders.remove(&engine);
+                    self.lift(now, &engine);
                     records.push(Record::Lifted { engine });
                 }
             }
@@ -504,9 +527,35 @@
         Ok(())
     }
 
+    /// Nothing more to an engine, be it the last one, gone or not reachable; `None` if that stood already.
+    pub fn suspend(&mut self, now: Micros, by: &str, engine: &str) -> Result<Option<Done>, Refusal> {
+        if self.orders.contains_key(engine) {
+            return Ok(None);
+        }
+        self.command(now, by, Command::Drain { engine: engine.into(), force: true }).map(Some)
+    }
+
+    /// An engine may be used again, and counts as just started; `None` if no order stood.
+    pub fn restore_engine(&mut self, now: Micros, by: &str, engine: &str) -> Result<Option<Done>, Refusal> {
+        if !self.orders.contains_key(engine) {
+            return self.must_know(engine).map(|_| None);
+        }
+        self.command(now, by, Command::Resume { engine: engine.into() }).map(Some)
+    }
+
+    /// An order about an engine is over.
+    fn lift(&mut self, now: Micros, engine: &str) {
+        if self.lifted.len() >= LIFTED_MOST && !self.lifted.contains_key(engine) {
+            let oldest = self.lifted.iter().min_by_key(|l| *l.1).map(|l| l.0.clone());
+            oldest.map(|name| self.lifted.remove(&name));
+        }
+        self.lifted.insert(engine.into(), now);
+    }
+
     fn must_know(&self, engine: &str) -> Result<Phase, Refusal> {
         match self.entries.get(engine) {
             Some(entry) => Ok(self.phase(engine, entry)),
+            None if self.ever.contains(engine) => Ok(Phase::Gone),
             None => {
                 let near = self.entries.keys().min_by_key(|name| distance(name, engine)).cloned();
                 let near = near.filter(|name| distance(name, engine) <= 2);
