--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -104,6 +104,21 @@
         !std::mem::replace(&mut self.begun, true)
     }
 
+    /// Whether it has ever been ready.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Whether it takes the place of an earlier process.
+    pub fn succeeds(&self) -> bool {
+        self.succeeds
+    }
+
+    /// Whether a later process serves.
+    pub fn is_succeeded(&self) -> bool {
+        self.successor.is_some()
+    }
+
     /// Whether it says that it is ready to serve.
     pub fn is_ready(&self) -> bool {
         self.state() == State::Ready
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -62,6 +62,24 @@
         }
     }
 
+    /// The process ends before they could all be served: each that is open is answered now. A refusal where it never
+    /// ran, so that its client may try elsewhere; else a failure.
+    pub fn answer_all(&mut self, now: Micros) {
+        let ids: Vec<RequestId> = self.requests.iter().filter(|r| !r.1.closed).map(|r| *r.0).collect();
+        for id in ids {
+            let ran = |a: &crate::send::Attempt| match a.outcome {
+                Some(outcome) => !outcome.never_ran(),
+                // Of what waits for its connection nothing is written once the request is closed.
+                None => a.progress >= crate::send::Progress::PartWritten,
+            };
+            match self.requests.get(&id).is_some_and(|r| r.attempts.iter().any(ran)) {
+                true => self.fail(id),
+                false => self.refuse(id, crate::admit::FULL_ADVICE),
+            }
+            self.tell(now, Event::ClientGone(crate::query(id)));
+        }
+    }
+
     /// Closes a request; false if it was closed before. Whoever closes it gives the one final answer.
     pub(crate) fn close(&mut self, id: RequestId) -> bool {
         match self.requests.get_mut(&id) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod console;
 pub mod demo;
 pub mod fronts;
+pub mod handover;
 pub mod members;
 pub mod net;
 pub mod node;
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -124,7 +124,7 @@
 impl Node {
     /// Takes connections in while there is room; what has to wait is looked at again with each sweep.
     pub(super) fn accept(&mut self, now: Micros) {
-        let most = self.config.sockets * PART_OF_SOCKETS / 100;
+        let most = self.sockets() * PART_OF_SOCKETS / 100;
         while self.life.accepts() {
             if self.clients.len() >= most && !self.drop_ripest(now) {
                 return;
@@ -608,8 +608,10 @@
         let life = format!("state{{is=\"{state}\"}} 1\nengines_out_by_order {bans}\n");
         let away = format!("connections_sent_away {}\n", self.sent_away);
         let management = self.management.counters();
+        let succeeds = u8::from(self.life.succeeds());
+        let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
         let open = self.core.open();
-        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}")
+        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}")
     }
 }
 
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -444,6 +444,7 @@
             Err(refusal) => return self.tell_operator(conn, &Reply::Refused(refusal.to_string()).line(id)),
         };
         self.take_change(now, &change);
+        self.tell_post();
         self.event(now, format!("{words}, by an operator"));
         let kept = self.write_down(now, records);
         match kept {
@@ -567,6 +568,7 @@
         match self.roster.command(now, "the roll", command) {
             Ok((change, records)) => {
                 self.take_change(now, &change);
+                self.tell_post();
                 let _ = self.write_down(now, records);
             }
             Err(refusal) => self.event(now, format!("The roll: {refusal}")),
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -27,6 +27,8 @@
 /// Part of the engines' idle limit after which a connection is not used again: a request that crosses the
 /// engine's close would be lost without proof that it never ran.
 const IDLE_PART: f64 = 0.9;
+/// The same while a successor serves.
+const HANDED_OVER_IDLE: Micros = 200_000;
 /// Where notes come with work out, a connection that is this much late with them counts as silent: new work
 /// goes by another one, whose connect shows at once whether the engine can be reached.
 const NOTE_LATE: Micros = 600_000;
@@ -166,7 +168,7 @@
         let session = self.session(addr);
         let most = (PER_ENGINE / session.most()).clamp(CONNS.0, CONNS.1);
         if self.engines.values().filter(|c| c.engine == engine && !c.retired).count() >= most
-            || self.engines.len() >= self.config.sockets / PART_OF_SOCKETS
+            || self.engines.len() >= self.sockets() / PART_OF_SOCKETS
         {
             // Rather than wait without bound for a place, the attempt goes elsewhere; the engine is well.
             return best.map(|b| b.3).ok_or(Cause::TurnedAway);
@@ -618,6 +620,8 @@
 
     pub(super) fn sweep_engines(&mut self, now: Micros) {
         let (idle, stall) = (self.config.idle, self.config.stall);
+        // What hands over has little more to send: idle connections are the successor's share of the descriptors.
+        let idle = if self.life.is_succeeded() { idle.min(HANDED_OVER_IDLE) } else { idle };
         self.check_engines(now);
         self.streams = self.engines.values().filter(|c| c.session.is_streaming()).count();
         let over = |c: &EngineConn| {
--- a/crates/node/src/node/feed.rs
+++ b/crates/node/src/node/feed.rs
@@ -22,6 +22,8 @@
     conn: Option<FeedConn>,
     next_try: Micros,
     backoff: Backoff,
+    /// When the source was first heard.
+    first: Option<Micros>,
     /// When the source last said something of engines.
     told: Micros,
     /// What it is, in words.
@@ -53,7 +55,12 @@
             Membership::File(path) => file = Some(File::new(path.clone())),
             Membership::Fixed => {}
         }
-        Feed { watch, file, conn: None, next_try: 0, backoff, told: 0, about }
+        Feed { watch, file, conn: None, next_try: 0, backoff, first: None, told: 0, about }
+    }
+
+    /// Whether all that the source tells at once has come: so long after its first byte. One that can't be heard has.
+    pub(super) fn has_settled(&self, now: Micros, after: Micros) -> bool {
+        self.watch.is_none() || self.first.is_some_and(|at| now >= at + after)
     }
 
     /// What the source is, and how long it has said nothing where it should be heard all the time.
@@ -163,6 +170,7 @@
             let mut fed = Ok(());
             if !bytes.is_empty() {
                 conn.heard = now;
+                self.feed.first.get_or_insert(now);
                 self.feed.backoff.heard(now);
                 fed = watch.feed(&bytes, &mut out, &mut updates);
                 conn.link.push(&out);
--- a/crates/node/src/node/management.rs
+++ b/crates/node/src/node/management.rs
@@ -196,6 +196,7 @@
     fn ordered(&mut self, now: Micros, done: Option<Done>, words: String) -> String {
         let Some((change, records)) = done else { return format!("{words}, as before") };
         self.take_change(now, &change);
+        self.tell_post();
         self.told(now, format!("{words}, by the second address"));
         let _ = self.write_down(now, records);
         words
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -5,11 +5,13 @@
 mod engines;
 mod feed;
 mod management;
+mod upgrade;
 
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
 use crate::config::{Config, Wire};
 use crate::fronts::clickhouse::ClickHouse;
 use crate::fronts::{platform::Platform, After, Front};
+use crate::handover::Post;
 use crate::members::backoff::{Backoff, Broken};
 use crate::members::facts;
 use crate::net::unix_now;
@@ -17,7 +19,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use driftfront_core::lifecycle::{Lifecycle, State};
+use driftfront_core::lifecycle::Lifecycle;
 use driftfront_core::{Command, Core, EngineId, ListKind, Micros, Phase, RequestId};
 use driftfront_roster::{Change, Roster};
 use driftfront_settings::json::Json;
@@ -67,6 +69,13 @@
     carrying: bool,
     life: Lifecycle,
     management: management::Management,
+    started: Micros,
+    /// Where other processes of this coordinator are heard, while an upgrade may have them run.
+    post: Option<Post>,
+    /// Another one runs.
+    shares: bool,
+    /// Orders taken over from others.
+    merged: u64,
     /// Clients' connections closed since the process is paused or hands over.
     sent_away: u64,
 }
@@ -87,8 +96,7 @@
 impl Node {
     /// Binds, takes the first list over and registers the sources of events.
     pub fn new(config: Config, events: &EventLoop<'static, Node>) -> Result<Node, String> {
-        let listener =
-            clients::listen(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let (listener, post) = upgrade::listener(&config)?;
         let classes = config.classes.clone();
         let front: Box<dyn Front> = match config.wire {
             Wire::Platform => Box::new(Platform { classes }),
@@ -119,10 +127,18 @@
             carrying: false,
             life: Lifecycle::new(false, longest),
             management: management::Management::default(),
+            started: now,
+            post,
+            shares: false,
+            merged: 0,
             sent_away: 0,
             config,
         };
         node.open_control()?;
+        // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
+        node.tend_post(now);
+        let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
+        node.life = Lifecycle::new(succeeds, longest);
         node.take_known();
         node.open_management();
         let socket = node.listener.clone();
@@ -256,6 +272,7 @@
             self.front.tend(now);
             self.tend_control(now);
             self.sweep_callers(now);
+            self.tend_post(now);
             self.tend_life(now);
             self.carry_out();
         }
@@ -296,8 +313,12 @@
     }
 
     fn tend_life(&mut self, now: Micros) {
-        if self.life.state() == State::Starting && self.core.has_engines() {
-            self.life.begin();
+        if !self.life.has_begun() && self.knows_engines(now) && self.life.begin() {
+            tracing::info!(succeeds = self.life.succeeds(), "ready");
+            self.tell_post();
+        }
+        if self.life.last_word().is_some_and(|at| now >= at) {
+            self.core.answer_all(now);
         }
         if self.life.look(self.clients.len()) {
             self.told(now, "Drained: no client is left".into());
--- a/crates/node/tests/common/lines.rs
+++ b/crates/node/tests/common/lines.rs
@@ -156,6 +156,11 @@
     }
 
     pub fn set(engines: usize, edit: impl Fn(String) -> String) -> Site {
+        Site::with(engines, |config| Coordinator::start(&edit(config)))
+    }
+
+    /// A site whose coordinator is started in a way of its own.
+    pub fn with(engines: usize, start: impl FnOnce(String) -> Coordinator) -> Site {
         let ledger = Arc::new(Ledger::default());
         let engine = |n| {
             let ledger = ledger.clone();
@@ -163,7 +168,7 @@
         };
         let engines: Vec<SocketAddr> = (0..engines).map(engine).collect();
         let list = List::start();
-        let site = Site { ledger, coordinator: Coordinator::start(&edit(config(list.addr))), list, engines };
+        let site = Site { ledger, coordinator: start(config(list.addr)), list, engines };
         site.tell(&vec!["ready"; site.engines.len()], "");
         site.coordinator.wait_until_ready();
         site
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use driftfront_http::{header, Header, ResponsePart, ResponseReader};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -47,14 +47,22 @@
 
     /// One that may hold only so many descriptors.
     pub fn limited(config: &str, descriptors: usize) -> Coordinator {
-        let path = file(config);
         let shell = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
-        let mut child = Command::new("sh")
-            .args(["-c", &shell, env!("CARGO_BIN_EXE_driftfront")])
-            .arg(&path)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
+        Coordinator::spawn(config, Command::new("sh").args(["-c", &shell]))
+    }
+
+    /// One that is started with this socket as descriptor 4, and told so in these words; `tmp` is its `$TMPDIR`.
+    pub fn inheriting(config: &str, socket: std::os::fd::OwnedFd, told: &str, tmp: &Path) -> Coordinator {
+        let shell = "exec 4<&0 0</dev/null \"$0\" serve --config \"$1\"";
+        let mut command = Command::new("sh");
+        command.args(["-c", shell]).stdin(socket).env("LB_PASSED_SOCKET", told).env("TMPDIR", tmp);
+        Coordinator::spawn(config, &mut command)
+    }
+
+    fn spawn(config: &str, command: &mut Command) -> Coordinator {
+        let path = file(config);
+        let command = command.arg(env!("CARGO_BIN_EXE_driftfront")).arg(&path).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         while !line.contains("listen=") {
@@ -115,6 +123,12 @@
         self.signal("-HUP");
     }
 
+    /// Ends it as a crash does.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it runs");
+        self.child.wait().expect("it ended");
+    }
+
     fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().expect("kill");
         assert!(status.success());
--- /dev/null
+++ b/crates/node/tests/upgrade.rs
@@ -0,0 +1,193 @@
+//! A new version under load: two processes of one coordinator on one inherited listener, and the orders between them.
+
+mod common;
+
+use common::lines::{config, Site};
+use common::{get, read_next, Coordinator, FOR_EVER};
+use driftfront_http::ResponseReader;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+/// What the platform holds: the clients' listener, and the folder that all processes of the coordinator share.
+struct Platform {
+    listener: TcpListener,
+    tmp: PathBuf,
+}
+
+impl Platform {
+    fn new(name: &str) -> Platform {
+        let tmp = std::env::temp_dir().join(format!("driftfront-upgrade-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&tmp);
+        std::fs::create_dir_all(&tmp).unwrap();
+        Platform { listener: TcpListener::bind("127.0.0.1:0").unwrap(), tmp }
+    }
+
+    fn socket(&self) -> OwnedFd {
+        self.listener.try_clone().unwrap().into()
+    }
+
+    fn start(&self, config: &str) -> Coordinator {
+        let at = self.listener.local_addr().unwrap();
+        let config = config.replace("127.0.0.1:0", &at.to_string());
+        let config = config.replacen('{', "{\"management\": \"127.0.0.1:0\",", 1);
+        Coordinator::inheriting(&config, self.socket(), "4", &self.tmp)
+    }
+
+    fn site(&self, engines: usize) -> Site {
+        Site::with(engines, |config| self.start(&config))
+    }
+
+    /// The next process; returns once it is ready.
+    fn upgrade(&self, site: &Site) -> Coordinator {
+        let new = self.start(&config(site.list.addr));
+        wait_for(&new, "STATUS\n", "OK");
+        new
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.tmp);
+    }
+}
+
+fn wait_for(coordinator: &Coordinator, call: &str, reply: &str) {
+    let begin = Instant::now();
+    while !coordinator.manage(call).starts_with(reply) {
+        assert!(begin.elapsed() < FOR_EVER, "{call:?} was never answered {reply}");
+        std::thread::yield_now();
+    }
+}
+
+/// A client that keeps its connection as long as it may: asks until it is told to stop, and counts what was turned back
+/// with no answer and was sent once more.
+fn client(addr: SocketAddr, number: u64, stop: &AtomicBool, turned_back: &AtomicU64) -> u64 {
+    let mut conn: Option<(TcpStream, ResponseReader)> = None;
+    let mut asked = 0;
+    while !stop.load(Ordering::Relaxed) {
+        asked += 1;
+        let id = number << 32 | asked;
+        let statement = format!("SELECT {id}.");
+        let head = format!(
+            "POST /ops/lookup HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2500\r\n"
+        );
+        let request = format!("{head}Content-Length: {}\r\n\r\n{statement}", statement.len());
+        for again in 0.. {
+            assert!(again < 2, "turned back twice");
+            let (stream, reader) = conn.get_or_insert_with(|| {
+                (TcpStream::connect(addr).expect("somebody listens"), ResponseReader::default())
+            });
+            let answer = stream.write_all(request.as_bytes()).map(|()| read_next(stream, reader));
+            match answer {
+                Ok(answer) if answer.whole => {
+                    assert_eq!(answer.status, 200, "{}", answer.text());
+                    if answer.header("Connection") == Some("close") {
+                        conn = None;
+                    }
+                    break;
+                }
+                Ok(answer) => assert_eq!(answer.status, 0, "half an answer"),
+                Err(_) => {}
+            }
+            turned_back.fetch_add(1, Ordering::Relaxed);
+            conn = None;
+        }
+    }
+    asked
+}
+
+#[test]
+fn two_upgrades_in_quick_succession_lose_nothing_and_answer_nothing_twice() {
+    let platform = Platform::new("load");
+    let mut site = platform.site(3);
+    let addr = site.coordinator.addr;
+    let (stop, turned_back) = (AtomicBool::new(false), AtomicU64::new(0));
+    let asked = std::thread::scope(|scope| {
+        let clients: Vec<_> = (1..=8)
+            .map(|n| {
+                scope.spawn({
+                    let (s, t) = (&stop, &turned_back);
+                    move || client(addr, n, s, t)
+                })
+            })
+            .collect();
+        for _ in 0..2 {
+            site.ledger.wait_until("some load", |entries| entries.len() % 100 > 50);
+            let new = platform.upgrade(&site);
+            wait_for(&site.coordinator, "STATUS\n", "ERR handing over");
+            let mut old = std::mem::replace(&mut site.coordinator, new);
+            old.terminate();
+            assert!(old.wait().success());
+        }
+        stop.store(true, Ordering::Relaxed);
+        clients.into_iter().map(|c| c.join().expect("a client")).sum::<u64>()
+    });
+    assert_eq!(site.ledger.of("SELECT").len() as u64, asked, "each ran once");
+    assert!(turned_back.load(Ordering::Relaxed) <= 2, "{} turned back", turned_back.load(Ordering::Relaxed));
+    assert_eq!(site.coordinator.counter("upgrade_succeeds"), 1);
+}
+
+#[test]
+fn an_order_given_to_either_process_holds_in_both_and_outlives_the_old_one() {
+    let platform = Platform::new("orders");
+    let mut site = platform.site(2);
+    assert!(site.coordinator.manage("SUSPEND e0\n").starts_with("OK"));
+    let new = platform.upgrade(&site);
+    // Taken over before it was ready.
+    assert_eq!(new.counter("engines_out_by_order"), 1);
+    assert!(new.manage("SUSPEND e1\n").starts_with("OK"));
+    let old = std::mem::replace(&mut site.coordinator, new);
+    assert!(old.manage("RESTORE e0\n").starts_with("OK"));
+    site.coordinator.wait_for("upgrade_orders_merged", 2);
+    assert_eq!(site.coordinator.counter("engines_out_by_order"), 1);
+    assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
+    assert_eq!(site.ledger.of("SELECT 1")[0].engine, "0");
+    let mut old = old;
+    old.kill();
+    let next = platform.upgrade(&site);
+    assert_eq!(next.counter("engines_out_by_order"), 1);
+    assert!(next.manage("RESTORE e1\n").starts_with("OK"));
+    wait_for(&site.coordinator, "STATUS\n", "ERR handing over");
+}
+
+#[test]
+fn when_a_successor_dies_the_old_process_serves_again() {
+    let platform = Platform::new("dies");
+    let site = platform.site(1);
+    let mut new = platform.upgrade(&site);
+    wait_for(&site.coordinator, "STATUS\n", "ERR handing over");
+    new.kill();
+    wait_for(&site.coordinator, "STATUS\n", "OK ready");
+    assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
+}
+
+#[test]
+fn the_successor_of_a_paused_process_serves() {
+    let platform = Platform::new("paused");
+    let mut site = platform.site(1);
+    assert!(site.coordinator.manage("PAUSE\n").starts_with("OK"));
+    let new = platform.upgrade(&site);
+    let mut old = std::mem::replace(&mut site.coordinator, new);
+    wait_for(&old, "STATUS\n", "ERR handing over");
+    old.terminate();
+    assert!(old.wait().success());
+    assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_is_left_alone_and_the_address_bound() {
+    let platform = Platform::new("wrong");
+    let plain = || std::fs::File::open("/dev/null").unwrap().into();
+    let connected = || OwnedFd::from(TcpStream::connect(platform.listener.local_addr().unwrap()).unwrap());
+    for (socket, told) in
+        [(platform.socket(), "5"), (platform.socket(), "x"), (plain(), "4"), (connected(), "4")]
+    {
+        let site = Site::with(1, |config| Coordinator::inheriting(&config, socket, told, &platform.tmp));
+        assert_ne!(site.coordinator.addr, platform.listener.local_addr().unwrap(), "{told}");
+        assert_eq!(get(site.coordinator.addr, "/alive").status, 200);
+    }
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -12,6 +12,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod handover;
 pub mod record;
 pub mod roll;
 
@@ -543,6 +544,46 @@
         self.command(now, by, Command::Resume { engine: engine.into() }).map(Some)
     }
 
+    /// What another process of this coordinator has to know of orders.
+    pub fn word(&self, ready: bool) -> handover::Word {
+        let names = self.ever_order.iter().cloned().collect();
+        handover::Word { ready, orders: self.orders.clone(), lifted: self.lifted.clone(), names }
+    }
+
+    /// Takes over what another process of this coordinator says: the later word about an engine holds, and of two at
+    /// once the one that takes it out. What has changed, and what is to be written down of it.
+    pub fn merge(&mut self, word: &handover::Word) -> Done {
+        use record::Record;
+        let mut change =
+            Change { kind: ListKind::Changes, lines: Vec::new(), restarted: Vec::new(), words: Vec::new() };
+        let mut records = Vec::new();
+        word.names.iter().for_each(|name| self.remember(name));
+        for (engine, standing) in &word.orders {
+            let room = self.orders.len() < ORDERS_MOST || self.orders.contains_key(engine);
+            let same = self.orders.get(engine) == Some(standing);
+            if !same && room && Some(standing.since) >= self.last_order(engine) {
+                self.lifted.remove(engine);
+                self.orders.insert(engine.clone(), standing.clone());
+                records.push(Record::Ordered { engine: engine.clone(), standing: standing.clone() });
+            }
+        }
+        for (engine, &at) in &word.lifted {
+            if Some(at) > self.last_order(engine) {
+                if self.orders.remove(engine).is_some() {
+                    records.push(Record::Lifted { engine: engine.clone() });
+                }
+                self.lift(at, engine);
+            }
+        }
+        self.tell(&mut change);
+        (change, records)
+    }
+
+    /// When an order about an engine was last given or lifted.
+    fn last_order(&self, engine: &str) -> Option<Micros> {
+        self.orders.get(engine).map(|s| s.since).max(self.lifted.get(engine).copied())
+    }
+
     /// An order about an engine is over.
     fn lift(&mut self, now: Micros, engine: &str) {
         if self.lifted.len() >= LIFTED_MOST && !self.lifted.contains_key(engine) {
--- a/crates/roster/tests/bans.rs
+++ b/crates/roster/tests/bans.rs
@@ -2,6 +2,7 @@
 
 use driftfront_roster::{Fact, Refusal, Roster, NAMES_MOST};
 use fernlink::interface::{ListKind, Phase};
+use quickcheck::{Gen, QuickCheck};
 
 fn fact(name: &str, phase: Phase, born: Option<u64>) -> Fact {
     let addr = "127.0.0.1:1000".parse().ok();
@@ -45,3 +46,43 @@
     assert!(roster.source(ListKind::Changes, vec![fact("z", Phase::Ready, None)]).lines.len() == 1);
     assert!(roster.restore_engine(1, "x", "n0").is_err());
 }
+
+/// Two processes get random orders and hear of each other in any order: once both have heard all, both say the same, and
+/// what was ordered last holds.
+fn processes_agree(steps: Vec<(u8, u8, bool)>) -> bool {
+    let lines = || (0..3).map(|n| fact(&format!("e{n}"), Phase::Ready, None)).collect::<Vec<_>>();
+    let mut two = [Roster::new(), Roster::new()];
+    two.iter_mut().for_each(|r| drop(r.source(ListKind::Whole, lines())));
+    let mut last = [Phase::Ready; 3];
+    for (now, (what, engine, which)) in steps.into_iter().enumerate() {
+        let (n, which, now) = (usize::from(engine % 3), usize::from(which), now as u64 + 1);
+        let name = format!("e{n}");
+        match what % 4 {
+            0 => {
+                last[n] =
+                    if two[which].suspend(now, "x", &name).is_ok() { Phase::Draining } else { return false }
+            }
+            1 => {
+                last[n] = if two[which].restore_engine(now, "x", &name).is_ok() {
+                    Phase::Ready
+                } else {
+                    return false;
+                }
+            }
+            _ => {}
+        }
+        // An order is told to the other at once, as hosts do it; a word may come twice, and late ones change nothing.
+        let word = two[which].word(true);
+        let before = two[1 - which].word(true);
+        drop(two[1 - which].merge(&word));
+        drop(two[which].merge(&before));
+    }
+    let phases = |r: &Roster| r.engines().iter().map(|e| e.phase).collect::<Vec<_>>();
+    phases(&two[0]) == last && phases(&two[1]) == last
+}
+
+#[test]
+fn orders_given_to_either_of_two_processes_hold_in_both() {
+    let mut check = QuickCheck::new().tests(5_000).rng(Gen::from_size_and_seed(40, 18));
+    check.quickcheck(processes_agree as fn(Vec<(u8, u8, bool)>) -> bool);
+}
