--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -4,11 +4,14 @@
 mod control;
 mod engines;
 mod feed;
+mod management;
+mod upgrade;
 
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
 use crate::config::{Config, Wire};
 use crate::fronts::clickhouse::ClickHouse;
 use crate::fronts::{platform::Platform, After, Front};
+use crate::handover::Post;
 use crate::members::backoff::{Backoff, Broken};
 use crate::members::facts;
 use crate::net::unix_now;
@@ -16,6 +19,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use driftfront_core::lifecycle::Lifecycle;
 use driftfront_core::{Command, Core, EngineId, ListKind, Micros, Phase, RequestId};
 use driftfront_roster::{Change, Roster};
 use driftfront_settings::json::Json;
@@ -28,8 +32,6 @@
 
 /// Connections are looked over this often: connect time-outs, idle ends, accepts that were put off.
 const SWEEP: Micros = 25_000;
-/// After SIGTERM new requests may come for this long: 0.4 s of connections, 0.2 s more on them, and spare.
-const LINGER: Micros = 800_000;
 
 /// A connection's number inside this program; never used twice.
 type ConnId = u64;
@@ -65,7 +67,17 @@
     later: Vec<Source>,
     /// Commands are being carried out.
     carrying: bool,
-    stop_at: Option<Micros>,
+    life: Lifecycle,
+    management: management::Management,
+    started: Micros,
+    /// Where other processes of this coordinator are heard, while an upgrade may have them run.
+    post: Option<Post>,
+    /// Another one runs.
+    shares: bool,
+    /// Orders taken over from others.
+    merged: u64,
+    /// Clients' connections closed since the process is paused or hands over.
+    sent_away: u64,
 }
 
 /// What a readiness event is for.
@@ -77,19 +89,21 @@
     Feed(ConnId),
     Operators(usize),
     Operator(ConnId),
+    Management,
+    Caller(ConnId),
 }
 
 impl Node {
     /// Binds, takes the first list over and registers the sources of events.
     pub fn new(config: Config, events: &EventLoop<'static, Node>) -> Result<Node, String> {
-        let listener =
-            clients::listen(config.listen).map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let (listener, post) = upgrade::listener(&config)?;
         let classes = config.classes.clone();
         let front: Box<dyn Front> = match config.wire {
             Wire::Platform => Box::new(Platform { classes }),
             Wire::ClickHouse => Box::new(ClickHouse::new(classes, config.clickhouse, config.seed)),
         };
         let now = unix_now();
+        let longest = config.classes.patience.iter().copied().max().unwrap_or(0);
         let mut node = Node {
             core: Core::new(config.settings.clone(), config.limits, config.seed),
             handle: events.handle(),
@@ -111,11 +125,22 @@
             next_sweep: now,
             later: Vec::new(),
             carrying: false,
-            stop_at: None,
+            life: Lifecycle::new(false, longest),
+            management: management::Management::default(),
+            started: now,
+            post,
+            shares: false,
+            merged: 0,
+            sent_away: 0,
             config,
         };
         node.open_control()?;
+        // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
+        node.tend_post(now);
+        let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
+        node.life = Lifecycle::new(succeeds, longest);
         node.take_known();
+        node.open_management();
         let socket = node.listener.clone();
         node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
@@ -127,7 +152,7 @@
             }
             tracing::info!(signal = ?event.signal(), "stopping once all taken is answered");
             let now = node.clock();
-            node.stop_at.get_or_insert(now + LINGER);
+            node.life.end(now);
         };
         events.handle().insert_source(signals, on_signal).map_err(|e| format!("signals: {e}"))?;
         Ok(node)
@@ -136,7 +161,8 @@
     /// Runs until a signal has asked for the end and all that was taken is answered.
     pub fn run(mut self, mut events: EventLoop<'static, Node>) -> Result<(), String> {
         let listen = self.listener.local_addr().map_or(self.config.listen, |a| a);
-        tracing::info!(name = %self.config.name, %listen, "serving");
+        let management = self.management.addr().map(tracing::field::display);
+        tracing::info!(name = %self.config.name, management, %listen, "serving");
         loop {
             self.guard("timers", Node::on_time);
             if self.may_end() {
@@ -194,6 +220,7 @@
 
     fn on_ready(&mut self, source: Source, _readiness: Readiness) {
         let now = self.clock();
+        self.look_at_management(now);
         match source {
             Source::Listener => self.accept(now),
             Source::Client(id) => self.client_ready(now, id),
@@ -201,6 +228,8 @@
             Source::Feed(id) => self.feed_ready(now, id),
             Source::Operators(place) => self.accept_operators(place),
             Source::Operator(id) => self.operator_ready(id),
+            Source::Management => self.accept_callers(now),
+            Source::Caller(id) => self.caller_ready(now, id),
         }
         self.carry_out();
     }
@@ -213,8 +242,9 @@
             Source::Client(id) => self.drop_client(now, id),
             Source::Engine(id) => self.drop_engine(now, id, "a panic"),
             Source::Feed(_) => self.drop_feed(now, "a panic", Broken::Off),
-            Source::Operators(_) => {}
+            Source::Operators(_) | Source::Management => {}
             Source::Operator(id) => self.drop_operator(id),
+            Source::Caller(id) => self.drop_caller(id),
         }
         self.carry_out();
     }
@@ -229,7 +259,7 @@
                     self.engine_write(now, id);
                     self.engine_read(now, id);
                 }
-                Source::Listener | Source::Feed(_) | Source::Operators(_) | Source::Operator(_) => {}
+                _ => {}
             }
         }
         self.carry_out();
@@ -241,13 +271,58 @@
             self.sweep_feed(now);
             self.front.tend(now);
             self.tend_control(now);
+            self.sweep_callers(now);
+            self.tend_post(now);
+            self.tend_life(now);
             self.carry_out();
         }
     }
 
     fn may_end(&self) -> bool {
-        let time = self.stop_at.is_some_and(|at| self.now >= at);
-        time && self.core.open() == 0 && self.clients.values().all(|c| !c.is_writing())
+        let writing = self.clients.values().any(|c| c.is_writing());
+        self.life.may_end(self.now, self.core.open(), self.clients.len(), writing)
+    }
+
+    /// What `/alive` and STATUS both say.
+    fn is_ready(&self) -> bool {
+        self.life.is_ready() && self.core.has_engines()
+    }
+
+    /// An operator sends the clients away; what to tell of it.
+    fn pause(&mut self, now: Micros, by: &str) -> String {
+        if self.life.pause(now) {
+            self.told(now, format!("Paused by {by}: clients are sent away, what was taken is answered"));
+        }
+        self.life.state().word().into()
+    }
+
+    /// An operator calls it back to work; what to tell of it.
+    fn back_to_work(&mut self, now: Micros, by: &str) -> String {
+        if self.life.resume() {
+            self.told(now, format!("Back to work, by {by}"));
+        }
+        self.life.state().word().into()
+    }
+
+    /// For the log, and for operators.
+    fn told(&mut self, now: Micros, words: String) {
+        match self.control {
+            Some(_) => self.event(now, words),
+            None => tracing::info!("{words}"),
+        }
+    }
+
+    fn tend_life(&mut self, now: Micros) {
+        if !self.life.has_begun() && self.knows_engines(now) && self.life.begin() {
+            tracing::info!(succeeds = self.life.succeeds(), "ready");
+            self.tell_post();
+        }
+        if self.life.last_word().is_some_and(|at| now >= at) {
+            self.core.answer_all(now);
+        }
+        if self.life.look(self.clients.len()) {
+            self.told(now, "Drained: no client is left".into());
+        }
     }
 
     /// Carries out what the core asks for, until it asks for nothing more.
@@ -330,6 +405,7 @@
         }
         let now = self.clock();
         self.core.engines(now, ListKind::Cached, &lines);
+        self.tend_life(now);
         self.carry_out();
     }
 
@@ -352,6 +428,7 @@
         for words in &change.words {
             self.event(now, words.clone());
         }
+        self.tend_life(now);
         self.carry_out();
     }
 
