--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -27,6 +27,7 @@
 const SILENCE: f64 = 1_600_000.0; // No word for this long with work out is silence: longer than short stalls.
 const SHUT: Micros = 400_000; // A failed engine rests this long, doubled up to 16-fold: covers a restart.
 const ERRING: f64 = 3.0; // A sliver's engine that errs counts as so much slower: it is met too seldom.
+const MOSTLY: f64 = 0.5; // An engine on trial stays so while more of its last answers than this were errors.
 const LOST: usize = 2; // Engines of a zone lost with no word from any there: the zone is, until one answers.
 const ERRORS: usize = 2; // Engines that answer a query with an error before the fault is taken for its own.
 const COLD_CARE: f64 = 0.7; // Part of the cold budget used: the rule weighs by usual work, not by ours.
@@ -195,11 +196,7 @@
 
     /// Threads a core that an engine is held to.
     fn bound_threads(&self) -> f64 {
-        if self.sliver() {
-            BOUND_THREADS
-        } else {
-            PART_THREADS
-        }
+        [PART_THREADS, BOUND_THREADS][usize::from(self.sliver())]
     }
 
     /// The run bound, own threads that count against it and their work left: those of the engine or, with a
@@ -668,8 +665,7 @@
 
     fn on_arrival(&mut self, now: Micros, query: Query, act: &mut Actions) {
         if usize::from(query.class) >= self.cfg.classes.len() {
-            act.push(Action::Refuse(query.id, 0));
-            return;
+            return act.push(Action::Refuse(query.id, 0));
         }
         if let Some(b) = self.cfg.retry_budget {
             self.tally.taken.push_back(now);
@@ -733,8 +729,12 @@
         let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
         self.take_report(now, engine, end.report, answered);
         let (safe, sliver) = (self.class(id).effect == Effect::Safe, self.sliver());
-        if let Some(e) = self.engines.get_mut(&engine).filter(|_| sliver && outcome == Outcome::Error) {
-            (e.slow, e.slow_at) = ((e.slow * ERRING).min(CLIP), now);
+        let erred = f64::from(u8::from(outcome == Outcome::Error));
+        if let Some(e) = self.engines.get_mut(&engine).filter(|_| answered) {
+            e.errs += 3.0 * BLEND * (erred - e.errs);
+            if sliver && erred > 0.0 {
+                (e.slow, e.slow_at) = ((e.slow * ERRING).min(CLIP), now);
+            }
         }
         let job = self.jobs.get_mut(&id).expect("an attempt was recorded");
         match outcome {
@@ -766,10 +766,9 @@
             _ => {}
         }
         self.drop_if_gone(engine);
-        if self.sliver() {
-            self.pump_all(now, act)
-        } else {
-            self.pump(now, engine, act)
+        match sliver {
+            true => self.pump_all(now, act),
+            false => self.pump(now, engine, act),
         }
         // Room here and nobody waiting: those whose start slipped elsewhere need not wait for the tick.
         let idle = self.engines.get(&engine).filter(|e| e.queue.is_empty()).map(|e| self.load(now, e));
@@ -814,12 +813,14 @@
             self.tally.pace *= (ratio / self.tally.pace).powf(BLEND);
             // With a sliver answers of one engine are rare: each then says more.
             e.slow *= (ratio / e.slow).powf(if sliver { 3.0 * BLEND } else { BLEND });
-            (e.slow_at, e.failures) = (now, 0);
+            e.slow_at = now;
             if e.on_trial && e.lost {
                 // It was gone and answers: it may have restarted without word, so it counts as cold.
                 e.born = Some(now);
             }
-            (e.on_trial, e.lost, e.shut_until) = (false, false, 0);
+            // The odd answer of one that errs mostly does not make it well.
+            e.on_trial &= e.errs > MOSTLY;
+            (e.failures, e.lost, e.shut_until) = (e.failures * u32::from(e.on_trial), false, 0);
         }
     }
 
@@ -861,14 +862,12 @@
     fn on_probe(&mut self, now: Micros, id: EngineId, outcome: Outcome, report: &[f64], act: &mut Actions) {
         self.take_report(now, id, report, outcome == Outcome::Ok);
         match (outcome, self.engines.get_mut(&id)) {
-            (Outcome::Ok, Some(e)) => {
-                if !e.on_trial && now < e.shut_until {
-                    // Only a connection had broken.
-                    e.shut_until = 0;
-                    self.route_held(now, act);
-                }
+            (Outcome::Ok, Some(e)) if !e.on_trial && now < e.shut_until => {
+                // Only a connection had broken.
+                e.shut_until = 0;
+                self.route_held(now, act);
             }
-            (Outcome::Full | Outcome::Moot, _) | (_, None) => {}
+            (Outcome::Ok | Outcome::Full | Outcome::Moot, _) | (_, None) => {}
             _ => self.failed(now, id, outcome, act),
         }
         for q in self.scouting(Some(id), now) {
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -146,6 +146,8 @@
     pub heard: Micros,
     pub full_at: Option<Micros>,
     pub failures: u32,
+    /// Part of its last answers that were errors.
+    pub errs: f64,
     pub shut_until: Micros,
     /// One attempt at a time until one succeeds.
     pub on_trial: bool,
@@ -395,6 +397,7 @@
             heard: now,
             full_at: None,
             failures: 0,
+            errs: 0.0,
             shut_until: 0,
             on_trial: false,
             lost: false,
--- a/crates/fernlink/tests/rules.rs
+++ b/crates/fernlink/tests/rules.rs
@@ -105,6 +105,33 @@
     assert_eq!(errors, 2);
 }
 
+#[test]
+fn the_odd_answer_of_an_engine_that_errs_mostly_does_not_make_it_well_but_a_run_of_them_does() {
+    let list: Vec<Listed> = (1..=4).map(listed).collect();
+    let mut rig = Rig::new(settings(vec![class(9 * S, 1.0, 1.0)]), &list);
+    let (mut met, mut gone, mut tables) = (0, 0, 0);
+    let mut ask = |rig: &mut Rig, sick: bool| {
+        tables += 1;
+        let (q, act) = rig.arrive(0, 100 * MS, tables);
+        let there = sends(&act)[0].1 == 1;
+        met += usize::from(there);
+        // Four of five fail, at once, so that it looks idle.
+        let errs = sick && there && met % 5 != 0;
+        if errs {
+            rig.end(q, 0, Outcome::Error, MS);
+        }
+        rig.end(q, u8::from(errs), Outcome::Ok, 100 * MS);
+        rig.tick(50 * MS);
+        there
+    };
+    for _ in 0..800 {
+        gone += usize::from(ask(&mut rig, true));
+    }
+    assert!(gone * 40 < 800, "{gone} of 800 went to it");
+    let back = (0..800).filter(|_| ask(&mut rig, false)).count();
+    assert!(back * 8 > 800, "{back} of 800 went to it once it was well");
+}
+
 #[test]
 fn a_broken_connection_rests_its_engine_until_a_probe_answers() {
     let mut s = settings(vec![class(9 * S, 1.0, 1.0)]);
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -262,8 +262,9 @@
     }
 
     fn attempt_failed(&mut self, now: Micros, key: AttemptKey, cause: Cause) {
+        let engine = self.core.sent(key).and_then(|s| self.roster.name(s.0)).map(String::from);
         if let Some(error) = self.core.attempt_failed(now, key, cause) {
-            tracing::debug!(request = key.request.0, attempt = key.number, "{error}");
+            tracing::debug!(request = key.request.0, attempt = key.number, engine, "{error}");
         }
     }
 
@@ -341,6 +342,8 @@
                 }
                 Work::Probe(tag) => conn.session.probe(tag, &mut out),
                 Work::Attempt(key, _) => {
+                    let engine = self.roster.name(conn.engine);
+                    tracing::debug!(request = key.request.0, attempt = key.number, engine, "sent");
                     self.core.reached(key, Progress::Connected);
                     let Some(patience) = self.core.may_write(now, key) else { continue };
                     let Some(taken) = self.core.taken(key.request) else { continue };
