Attempts that engines tell nothing of any more are given up and made again

Traced by connection: they are spread over all connections and engines, which go on answering others.

Measured before building on it: each attempt's gaps between words (written, notes, answer). Of 6,500 that were answered the largest is 0.64 s, with notes each 0.4 s; of 140 that were not the last is 0.8 s and more, none between. So an attempt without word for 1.75 periods is lost. Ruled out: whole connections that fall silent (the same ones served 20 to 230 others); run time (reports that were answered ran for 3 s and more, with notes all along).

Design: core/unheard.rs, free of I/O: given up (STOP, time-out), so that the module may try elsewhere within its ration. An engine short of memory says nothing of what waits there, but takes it in turn; so only where a later attempt on the same engine was heard of. Off for ClickHouse, whose engines say nothing.

--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -54,6 +54,8 @@
     pub released: u64,
     /// Attempts of unknown fate that could not be remembered: the bound on them bit.
     pub doubts_dropped: u64,
+    /// Attempts given up since nothing was told of them any more.
+    pub unheard: u64,
     /// Engines whose idle connections were all reset.
     pub doubted: u64,
 }
@@ -76,6 +78,7 @@
             ("requests_called_off", self.called_off),
             ("attempts_released", self.released),
             ("doubts_dropped", self.doubts_dropped),
+            ("attempts_unheard", self.unheard),
             ("engines_doubted", self.doubted),
         ] {
             writeln!(f, "{name} {count}")?;
@@ -102,6 +105,7 @@
         let gone: Vec<_> = self.phases.iter().filter(|p| *p.1 == Phase::Gone).map(|p| *p.0).collect();
         for engine in gone {
             self.phases.remove(&engine);
+            self.unheard.forget(engine);
             self.commands.push_back(Command::Forget(engine));
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod running;
 mod send;
 mod take_in;
+mod unheard;
 
 pub use book::Counters;
 pub use fernlink::interface::{EngineId, ListKind, Listed, Micros, Note, Outcome, Phase, Pin};
@@ -53,6 +54,8 @@
     pub answer_margin: Micros,
     /// Attempts of unknown fate that are remembered by name, so that they can be found and killed; 0 for none.
     pub doubts: usize,
+    /// Engines tell of each attempt by itself, as often as the settings say: one that nothing is told of is lost.
+    pub tells_each: bool,
 }
 
 /// What became of a request that is over.
@@ -136,6 +139,7 @@
     commands: VecDeque<Command>,
     counters: Counters,
     doubts: running::Doubts,
+    unheard: unheard::Unheard,
 }
 
 impl Core {
@@ -143,6 +147,7 @@
     pub fn new(settings: Settings, limits: Limits, seed: u64) -> Core {
         Core {
             classes: settings.classes.len(),
+            unheard: unheard::Unheard::new(&settings, limits.tells_each),
             controller: Controller::new(settings, seed),
             limits,
             requests: BTreeMap::new(),
@@ -179,6 +184,7 @@
                 Due::Probe(tag) => self.probed(now, tag, Outcome::TimedOut, &[]),
             }
         }
+        self.end_unheard(now);
     }
 
     /// Requests with no final answer yet.
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -98,6 +98,9 @@
     pub engine: EngineId,
     pub sent: Micros,
     pub until: Micros,
+    /// When its first byte was written, and when there was last word of it.
+    pub written: Micros,
+    pub heard: Micros,
     pub progress: Progress,
     pub outcome: Option<Outcome>,
     /// It was released: its outcome doesn't tell whether it still runs.
@@ -106,7 +109,8 @@
 
 impl Attempt {
     pub fn new(engine: EngineId, sent: Micros, until: Micros, outcome: Option<Outcome>) -> Attempt {
-        Attempt { engine, sent, until, progress: Progress::NotConnected, outcome, released: false }
+        let progress = Progress::NotConnected;
+        Attempt { engine, sent, until, written: sent, heard: 0, progress, outcome, released: false }
     }
 
     /// It may still run, though nobody waits for it here.
@@ -154,6 +158,7 @@
         let (engine, left) = (attempt.engine, attempt.until.saturating_sub(now));
         let ready = self.phases.get(&engine) == Some(&Phase::Ready);
         if ready && left > 0 && !closed {
+            self.out(key)?.written = now;
             return Some(left);
         }
         self.attempt_failed(now, key, Cause::Withheld);
@@ -170,6 +175,7 @@
     /// Word on an attempt that is out.
     pub fn noted(&mut self, now: Micros, key: AttemptKey, note: Note) {
         if self.out(key).is_some() {
+            self.heard_of(now, key);
             self.tell(now, Event::Noted(query(key.request), key.number, note));
         }
     }
@@ -239,6 +245,9 @@
 
     /// Books an attempt's end and tells the module.
     pub(crate) fn end(&mut self, now: Micros, key: AttemptKey, outcome: Outcome, report: &[f64]) {
+        if matches!(outcome, Outcome::Ok | Outcome::Error) {
+            self.heard_of(now, key);
+        }
         let Some(attempt) = self.out(key) else { return };
         attempt.outcome = Some(outcome);
         let (doubt, engine, spent) = (attempt.in_doubt(), attempt.engine, now.saturating_sub(attempt.sent));
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -123,7 +123,8 @@
         let text = include_bytes!("../../node/tests/common/site.json");
         let json = parse(text).expect("the example is JSON");
         let settings = driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
-        let limits = Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 8 };
+        let limits =
+            Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 8, tells_each: true };
         let mut model = Model {
             core: Core::new(settings, limits, 7),
             now: 1_000_000_000,
--- /dev/null
+++ b/crates/core/tests/unheard.rs
@@ -0,0 +1,114 @@
+//! Answers that are lost while their engine goes on answering others.
+
+use driftfront_core::{
+    Ask, AttemptKey, Command, Core, EngineId, Limits, ListKind, Listed, Note, Phase, Progress,
+};
+use driftfront_settings::json::{parse, Json};
+use std::rc::Rc;
+
+const S: u64 = 1_000_000;
+const LOOKUP: u16 = 0;
+const LOAD: u16 = 2;
+
+struct Rig {
+    core: Core,
+    now: u64,
+    asked: u64,
+}
+
+impl Rig {
+    fn new(tells_each: bool) -> Rig {
+        let text = include_bytes!("../../node/tests/common/site.json");
+        let json = parse(text).expect("the example is JSON");
+        let mut settings =
+            driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
+        settings.notes_every = Some(S);
+        let limits = Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each };
+        let mut rig = Rig { core: Core::new(settings, limits, 7), now: 1000 * S, asked: 0 };
+        let line = Listed { engine: EngineId(1), zone: 0, kind: 0, cell: 0, phase: Phase::Ready, born: None };
+        rig.core.engines(rig.now, ListKind::Whole, &[line]);
+        rig.commands();
+        rig
+    }
+
+    /// Sends and what was given up.
+    fn commands(&mut self) -> (Vec<AttemptKey>, Vec<AttemptKey>) {
+        let (mut sent, mut left) = (Vec::new(), Vec::new());
+        while let Some(command) = self.core.command() {
+            match command {
+                Command::Send(key, _) => {
+                    assert!(self.core.may_write(self.now, key).is_some());
+                    self.core.reached(key, Progress::WrittenWhole);
+                    sent.push(key);
+                }
+                Command::Abandon(key, _) => left.push(key),
+                _ => {}
+            }
+        }
+        (sent, left)
+    }
+
+    fn ask(&mut self, class: u16) -> AttemptKey {
+        self.asked += 1;
+        let call = format!("c{}", self.asked);
+        let ask = Ask {
+            call: call.as_str().into(),
+            class,
+            budget: 20 * S,
+            statement: Rc::from(*b"x"),
+            ..Ask::default()
+        };
+        self.core.take(self.now, ask);
+        self.commands().0[0]
+    }
+
+    fn wait(&mut self, until: u64) -> (Vec<AttemptKey>, Vec<AttemptKey>) {
+        let mut all = (Vec::new(), Vec::new());
+        while self.now < until {
+            self.now += 25_000;
+            self.core.tick(self.now);
+            let (sent, left) = self.commands();
+            all.0.extend(sent);
+            all.1.extend(left);
+        }
+        all
+    }
+}
+
+#[test]
+fn an_attempt_without_word_is_given_up_and_made_again_once_a_later_one_was_heard_of() {
+    let mut rig = Rig::new(true);
+    let begin = rig.now;
+    let first = rig.ask(LOOKUP);
+    rig.wait(begin + 100_000);
+    let second = rig.ask(LOOKUP);
+    rig.wait(begin + S);
+    rig.core.noted(rig.now, second, Note::Progress(0.1));
+    assert!(rig.wait(begin + 17 * S / 10).1.is_empty());
+    let (again, left) = rig.wait(begin + 19 * S / 10);
+    assert_eq!((left, again.len()), (vec![first], 1));
+    assert_eq!((again[0].request, again[0].number), (first.request, 1));
+    assert_eq!(rig.core.counters().unheard, 1);
+    // The second was heard of since, and is let be for as long again.
+    assert!(rig.wait(begin + 27 * S / 10).1.is_empty());
+}
+
+#[test]
+fn what_may_wait_its_turn_must_not_run_twice_or_is_told_nothing_of_is_let_be() {
+    // Nothing was heard of a later one: it may wait for memory, of which engines say nothing.
+    let mut rig = Rig::new(true);
+    let begin = rig.now;
+    let first = rig.ask(LOOKUP);
+    rig.core.noted(rig.now, first, Note::Progress(0.1));
+    assert!(rig.wait(begin + 4 * S).1.is_empty());
+    for (class, tells) in [(LOAD, true), (LOOKUP, false)] {
+        let mut rig = Rig::new(tells);
+        let begin = rig.now;
+        rig.ask(class);
+        rig.wait(begin + 100_000);
+        let second = rig.ask(LOOKUP);
+        rig.core.noted(rig.now, second, Note::Progress(0.1));
+        rig.core.served(rig.now, second, &[]);
+        assert!(rig.wait(begin + 4 * S).1.is_empty());
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -236,6 +236,7 @@
                 open: span("MaxOpen", 4096).min(4096) as usize,
                 probe_timeout: PROBE_TIMEOUT,
                 answer_margin: ANSWER_MARGIN,
+                tells_each: wire == Wire::Platform,
                 doubts: if wire == Wire::ClickHouse { DOUBTS } else { 0 },
             },
             settings,
