Who has just connected keeps its time to speak in a hand-over; pause on the console's socket

A request that finds its connection closed comes late on a new one, behind a later one of its key.

Checked and ruled out: the log of that key's requests (the third process alone, no hand-over at that time); the bound on waiting connections (accepts_full 0); descriptors (183 of 384).

Also: driftfront pause and unpause, the same lifecycle as PAUSE and RESUME; the state in status and the console's words; in an upgrade the control socket passes to the successor and the state folder's file is appended to by both.

--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -79,6 +79,19 @@
             counted(s.open, "request is", "requests are")
         ));
     }
+    match s.state.as_str() {
+        "draining" => alarms.push(format!(
+            "Paused by an operator: clients are sent away, {} left.",
+            counted(s.connections.first().copied().unwrap_or(0), "connection is", "connections are")
+        )),
+        "drained" => {
+            alarms.push("Paused by an operator: no client is left. driftfront unpause ends it.".into())
+        }
+        "handing over" => {
+            alarms.push("A new version serves at this address: this one answers the rest.".into())
+        }
+        _ => {}
+    }
     if !s.engines.iter().any(|e| e.phase == "ready") {
         alarms.push("No engine takes work: every request is refused.".into());
     }
@@ -327,6 +340,18 @@
         assert!(!is_silent(&engine("e", "ready", 0, 0, 90_000)));
     }
 
+    #[test]
+    fn a_pause_and_a_new_version_are_told_in_plain_words() {
+        let told = |state: &str| {
+            let engines = vec![engine("e", "ready", 0, 0, 0)];
+            let s = Snapshot { state: state.into(), connections: vec![3, 1], engines, ..Snapshot::default() };
+            alarms(&s).join(" ")
+        };
+        assert!(told("draining").contains("three connections are left"));
+        assert!(told("drained").contains("unpause") && told("handing over").contains("new version"));
+        assert_eq!(told("ready"), "");
+    }
+
     #[test]
     fn no_engine_ready_and_poor_service_are_told() {
         let mut s = Snapshot { engines: vec![engine("e", "draining", 2, 0, 0)], ..Snapshot::default() };
--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -107,6 +107,20 @@
         remote: true,
     },
     Command { name: "resume", arguments: "ENGINE", about: "lifts a drain", options: &[], remote: true },
+    Command {
+        name: "pause",
+        arguments: "",
+        about: "sends the clients away; the program stays, and answers what it has taken",
+        options: &[],
+        remote: true,
+    },
+    Command {
+        name: "unpause",
+        arguments: "",
+        about: "back to work after a pause",
+        options: &[],
+        remote: true,
+    },
     Command {
         name: "add",
         arguments: "ENGINE ADDRESS",
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -42,6 +42,10 @@
     },
     /// Lifts a drain.
     Resume(String),
+    /// Sends the clients away.
+    Pause,
+    /// Back to work.
+    Unpause,
     /// Adds an engine.
     Add {
         /// Its name.
@@ -134,6 +138,8 @@
                 ("drain", vec![("engine", text(engine)), ("force", (*force).into())])
             }
             Request::Resume(engine) => ("resume", vec![("engine", text(engine))]),
+            Request::Pause => ("pause", vec![]),
+            Request::Unpause => ("unpause", vec![]),
             Request::Add { engine, addr, zone, kind } => (
                 "add",
                 vec![
@@ -189,6 +195,8 @@
         "events" => Request::Events(flag("follow")),
         "drain" => Request::Drain { engine: need("engine")?, force: flag("force") },
         "resume" => Request::Resume(need("engine")?),
+        "pause" => Request::Pause,
+        "unpause" => Request::Unpause,
         "add" => Request::Add {
             engine: need("engine")?,
             addr: text("addr").unwrap_or_default(),
@@ -300,6 +308,8 @@
             Request::Events(true),
             Request::Drain { engine: engine(), force: true },
             Request::Resume(engine()),
+            Request::Pause,
+            Request::Unpause,
             Request::Add {
                 engine: engine(),
                 addr: "127.0.0.1:1".into(),
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -21,6 +21,8 @@
         ready: bool,
         /// It is ending.
         stopping: bool,
+        /// What the program is doing: `starting`, `ready`, `draining`, `drained`, `handing over` or `ending`.
+        state: String,
         /// Where the list of engines comes from, in words.
         source: String,
         /// Seconds since the source last said anything.
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -24,6 +24,9 @@
 const BAD_PAUSE: Micros = 100_000;
 /// Descriptors, in 100 of all, for clients; usual ones hold a third at most.
 const PART_OF_SOCKETS: usize = 60;
+/// The same while another process of this coordinator runs. Usual clients hold a third with both together, and must all
+/// find room here: one that waits in the backlog while others are read loses its place in its key's order.
+const PART_WHILE_SHARED: usize = 40;
 /// A connection that never brought a whole request counts as idle for this many times as long.
 const FRESH_WEIGHT: Micros = 8;
 /// Steps on one connection before the others have their turn.
@@ -87,10 +90,11 @@
         self.link.backlog() > 0
     }
 
-    /// Nothing is open on it, or on its way, that a close in order would hurt.
+    /// Nothing is open on it, or on its way, that a close in order would hurt. Whoever has just connected has a request
+    /// to write, and holds it back where its key's last one went out lately: that one has its usual time.
     fn may_close(&self) -> bool {
         let open = self.current.is_some() || self.close || self.shut || self.is_writing();
-        !open && !self.reader.is_within()
+        !open && !self.fresh && !self.reader.is_within()
     }
 
     /// How ripe a connection is for an end where descriptors are short; `None` if it must stay.
@@ -124,9 +128,11 @@
 impl Node {
     /// Takes connections in while there is room; what has to wait is looked at again with each sweep.
     pub(super) fn accept(&mut self, now: Micros) {
-        let most = self.sockets() * PART_OF_SOCKETS / 100;
+        let most = self.most_clients();
         while self.life.accepts() {
             if self.clients.len() >= most && !self.drop_ripest(now) {
+                // Counted with each look, whether somebody waits or not.
+                self.accepts_full += 1;
                 return;
             }
             let stream = match self.listener.accept() {
@@ -178,6 +184,11 @@
         }
     }
 
+    /// Clients' connections that may be open.
+    fn most_clients(&self) -> usize {
+        self.config.sockets * if self.shares { PART_WHILE_SHARED } else { PART_OF_SOCKETS } / 100
+    }
+
     /// Bytes that wait for a request's client to read them.
     pub(super) fn client_backlog(&self, request: RequestId) -> usize {
         let client = self.asking.get(&request).and_then(|a| self.clients.get(&a.0));
@@ -189,6 +200,7 @@
         let each = self.clients.iter().filter_map(|(&id, c)| Some((c.ripe(now)?, id)));
         let ripest = each.max().map(|(_, id)| id);
         if let Some(id) = ripest {
+            self.dropped += 1;
             self.tell_late(id);
             self.drop_client(now, id);
         }
@@ -594,7 +606,7 @@
         self.client_work(now, id);
     }
 
-    fn counters(&self) -> String {
+    pub(super) fn counters(&self) -> String {
         let connections = format!(
             "connections_clients {}\nconnections_engines {}\n",
             self.clients.len(),
@@ -606,7 +618,10 @@
         let bans = self.roster.orders().len();
         let state = self.life.state().word().replace(' ', "_");
         let life = format!("state{{is=\"{state}\"}} 1\nengines_out_by_order {bans}\n");
-        let away = format!("connections_sent_away {}\n", self.sent_away);
+        let away = format!(
+            "connections_sent_away {}\naccepts_full {}\nclients_dropped {}\n",
+            self.sent_away, self.accepts_full, self.dropped
+        );
         let management = self.management.counters();
         let succeeds = u8::from(self.life.succeeds());
         let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -15,9 +15,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::os::unix::fs::PermissionsExt;
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 /// Operators' connections at once; more are closed at once.
@@ -75,7 +75,8 @@
 
 /// What is kept for operators; only where the operator's file names a control socket.
 pub(super) struct Control {
-    socket: Option<PathBuf>,
+    /// The socket's path, and its number in the file system: a successor puts its own there.
+    socket: Option<(PathBuf, u64)>,
     key: Vec<u8>,
     operators: BTreeMap<ConnId, Operator>,
     events: VecDeque<(Micros, String)>,
@@ -126,23 +127,29 @@
 
 impl Drop for Control {
     fn drop(&mut self) {
-        if let Some(path) = &self.socket {
-            let _ = std::fs::remove_file(path);
+        if let Some((path, inode)) = &self.socket {
+            if std::fs::metadata(path).is_ok_and(|m| m.ino() == *inode) {
+                let _ = std::fs::remove_file(path);
+            }
         }
     }
 }
 
-/// Opens a control socket of mode 0600. One that a dead program has left is taken over; one that answers is not.
-fn listen(path: &PathBuf) -> Result<UnixListener, String> {
+/// Opens a control socket of mode 0600, and its number in the file system. One that a dead program has left is taken
+/// over; one that answers is not, but by its successor: then operators' next connection comes here.
+fn listen(path: &Path, succeeds: bool) -> Result<(UnixListener, u64), String> {
     let say = |e: std::io::Error| format!("control {}: {e}", path.display());
-    if UnixStream::connect(path).is_ok() {
+    if !succeeds && UnixStream::connect(path).is_ok() {
         return Err(format!("control {}: another program answers there", path.display()));
     }
-    let _ = std::fs::remove_file(path);
-    let listener = UnixListener::bind(path).map_err(say)?;
-    std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600)).map_err(say)?;
+    let beside = path.with_extension(format!("{}.new", std::process::id()));
+    let _ = std::fs::remove_file(&beside);
+    let listener = UnixListener::bind(&beside).map_err(say)?;
+    std::fs::set_permissions(&beside, std::fs::Permissions::from_mode(0o600)).map_err(say)?;
     listener.set_nonblocking(true).map_err(say)?;
-    Ok(listener)
+    std::fs::rename(&beside, path).map_err(say)?;
+    let inode = std::fs::metadata(path).map_err(say)?.ino();
+    Ok((listener, inode))
 }
 
 impl Node {
@@ -183,9 +190,10 @@
             self.control = Some(control);
         }
         if let Some(path) = self.config.control.clone() {
-            let listener = Rc::new(listen(&path)?);
+            let (listener, inode) = listen(&path, self.life.succeeds())?;
+            let listener = Rc::new(listener);
             if let Some(control) = &mut self.control {
-                control.socket = Some(path);
+                control.socket = Some((path, inode));
             }
             self.operators = vec![Listener::Unix(listener.clone())];
             self.watch(listener, Source::Operators(0)).map_err(|e| format!("event loop: {e}"))?;
@@ -379,6 +387,14 @@
                 let words = format!("{engine} is resumed: it takes work again");
                 self.order(now, conn, id, Order::Resume { engine }, words);
             }
+            Request::Pause => {
+                let words = self.pause(now, "an operator");
+                self.tell_operator(conn, &Reply::Done(words).line(id));
+            }
+            Request::Unpause => {
+                let words = self.back_to_work(now, "an operator");
+                self.tell_operator(conn, &Reply::Done(words).line(id));
+            }
             Request::Remove { engine, force } => {
                 let words = format!("{engine} is removed");
                 self.order(now, conn, id, Order::Remove { engine, force }, words);
@@ -470,7 +486,8 @@
         let Some(control) = &mut self.control else { return Kept::NoFolder };
         let Some(state) = &mut control.state else { return Kept::NoFolder };
         let number = state.append(records);
-        if state.wants_compaction() {
+        // What a successor writes must not be left in a file that is no longer the folder's.
+        if state.wants_compaction() && !self.life.is_succeeded() {
             let mut records = self.roster.records();
             records.push(Record::Roll { roll: control.roll.clone() });
             state.compact(records);
@@ -797,6 +814,7 @@
             front: format!("{:?}", self.config.wire),
             ready: self.is_ready(),
             stopping: self.life.state() == State::Ending,
+            state: self.life.state().word().into(),
             source,
             source_age_s: age.map(|a| a / 1_000_000),
             forgets: if kept {
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -78,6 +78,9 @@
     merged: u64,
     /// Clients' connections closed since the process is paused or hands over.
     sent_away: u64,
+    /// Looks at the backlog while there was no room for another client, and clients dropped to make room.
+    accepts_full: u64,
+    dropped: u64,
 }
 
 /// What a readiness event is for.
@@ -132,13 +135,15 @@
             shares: false,
             merged: 0,
             sent_away: 0,
+            accepts_full: 0,
+            dropped: 0,
             config,
         };
-        node.open_control()?;
         // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
         node.tend_post(now);
         let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
         node.life = Lifecycle::new(succeeds, longest);
+        node.open_control()?;
         node.take_known();
         node.open_management();
         let socket = node.listener.clone();
@@ -177,7 +182,7 @@
                 Err(e) => tracing::error!("event loop: {e}"),
             }
         }
-        tracing::info!("all taken is answered\n{}", self.core.counters());
+        tracing::info!("all taken is answered\n{}", self.counters());
         Ok(())
     }
 
--- a/crates/node/src/node/upgrade.rs
+++ b/crates/node/src/node/upgrade.rs
@@ -93,7 +93,7 @@
         self.core.has_engines() && (!self.life.succeeds() || late || self.feed.has_settled(now, LIST_SETTLES))
     }
 
-    /// Descriptors that this process may hold: with another one beside it, half of what both may.
+    /// Descriptors that engines' connections are a part of: with another process beside it, half of what both may hold.
     pub(super) fn sockets(&self) -> usize {
         self.config.sockets / if self.shares { 2 } else { 1 }
     }
--- a/crates/node/src/remote.rs
+++ b/crates/node/src/remote.rs
@@ -147,6 +147,11 @@
             no_more(args)?;
             say(&(ask(&mut connect(&at)?, &Request::Resume(engine))? + "\n"))
         }
+        "pause" | "unpause" => {
+            no_more(args)?;
+            let request = if name == "pause" { Request::Pause } else { Request::Unpause };
+            say(&(ask(&mut connect(&at)?, &request)? + "\n"))
+        }
         "add" => {
             let zone: Option<String> = args.opt_value_from_str("--zone")?;
             let kind: Option<String> = args.opt_value_from_str("--kind")?;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -40,9 +40,9 @@
     let path = folder.join(NAME);
     let mut file = OpenOptions::new()
         .read(true)
-        .write(true)
+        // Whole records behind whatever is there: in an upgrade two processes write.
+        .append(true)
         .create(true)
-        .truncate(false)
         .open(&path)
         .map_err(|e| say("can't be opened", e))?;
     let mut bytes = Vec::new();
@@ -87,7 +87,8 @@
 
 fn anew(path: &Path, bytes: &[u8]) -> std::io::Result<File> {
     let beside: PathBuf = path.with_extension("new");
-    let mut file = File::create(&beside)?;
+    let _ = std::fs::remove_file(&beside);
+    let mut file = OpenOptions::new().append(true).create(true).open(&beside)?;
     file.write_all(bytes)?;
     file.sync_all()?;
     std::fs::rename(&beside, path)?;
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use common::lines::{config, Site};
 use common::{get, read_next, Coordinator, FOR_EVER};
 use driftfront_http::ResponseReader;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
@@ -154,6 +154,32 @@
     wait_for(&site.coordinator, "STATUS\n", "ERR handing over");
 }
 
+#[test]
+fn who_has_connected_and_holds_its_request_back_is_answered_by_the_old_process() {
+    let platform = Platform::new("held");
+    let mut site = platform.site(1);
+    let mut held = TcpStream::connect(site.coordinator.addr).unwrap();
+    let mut idle = TcpStream::connect(site.coordinator.addr).unwrap();
+    let request = |id: u64| {
+        format!(
+            "POST /ops/lookup HTTP/1.1\r\nHost: t\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2500\r\n\
+             Content-Length: 8\r\n\r\nSELECT 1"
+        )
+    };
+    idle.write_all(request(1).as_bytes()).unwrap();
+    assert_eq!(read_next(&mut idle, &mut ResponseReader::default()).status, 200);
+    let new = platform.upgrade(&site);
+    let mut old = std::mem::replace(&mut site.coordinator, new);
+    // The one that has had its answer is closed; the other has said nothing for longer.
+    assert_eq!(idle.read(&mut [0; 16]).expect("an end in order"), 0);
+    held.write_all(request(2).as_bytes()).unwrap();
+    let answer = read_next(&mut held, &mut ResponseReader::default());
+    assert_eq!((answer.status, answer.header("Connection")), (200, Some("close")));
+    drop((held, idle));
+    old.terminate();
+    assert!(old.wait().success());
+}
+
 #[test]
 fn when_a_successor_dies_the_old_process_serves_again() {
     let platform = Platform::new("dies");
