--- a/crates/node/tests/clickhouse.rs
+++ b/crates/node/tests/clickhouse.rs
@@ -631,6 +631,37 @@
     assert_eq!(get(addr, &url).body.len(), 100_001);
 }
 
+#[test]
+fn a_ban_and_a_pause_let_a_session_s_result_and_a_streamed_insert_come_to_their_ends() {
+    let second = "\"name\": \"appliance\", \"management\": \"127.0.0.1:0\"";
+    let site = Plan::of(1).with("\"name\": \"appliance\"", second).start();
+    assert_eq!(site.ask("/?session_id=s", "CREATE TEMPORARY TABLE t (n Int)").status, 200);
+    let mut insert = half_an_insert(&site, "half", "none");
+    let mut result =
+        site.begin("/?session_id=s&driftfront_class=report", "SELECT wide(20), 1 FROM numbers(400000)");
+    site.coordinator.wait_for("results_paused", 1);
+    site.ledger.wait_for("o.half", 1);
+    assert!(site.coordinator.manage("SUSPEND e0\n").starts_with("OK"));
+    assert!(site.coordinator.manage("PAUSE\n").starts_with("OK"));
+    let refused = site.query("SELECT 1");
+    assert_eq!((refused.status, refused.header("Connection")), (429, Some("close")));
+    // What is out ends whole, and its connection behind it.
+    insert.write_all(b"0\r\n\r\n").unwrap();
+    let told = read_answer(&mut insert);
+    assert_eq!((told.status, told.header("Connection")), (200, Some("close")), "{}", told.text());
+    let rows = read_answer(&mut result);
+    assert!(rows.whole && rows.text().lines().count() == 400_000);
+    for mut stream in [insert, result] {
+        assert_eq!(stream.read(&mut [0; 16]).expect("an end in order"), 0);
+    }
+    // The session is lost with its engine, and says so.
+    assert_eq!(code(&site.ask("/?session_id=s", "SELECT 2")), Some(372));
+    assert!(site.coordinator.manage("RESTORE e0\n").starts_with("OK"));
+    assert_eq!(site.coordinator.manage("RESUME\n"), "OK ready\n");
+    assert_eq!(site.query("SELECT 3").status, 200);
+    site.ledger.assert_rules(6);
+}
+
 #[test]
 fn a_stop_answers_all_that_was_taken_and_ends_well() {
     let mut site = Site::start(1);
