After SIGTERM a passed listener is the next process's, whether a successor is heard of or not

The lines at fault, as far as known: lifecycle.rs took SIGTERM for a plain restart wherever no successor was seen ready, so that an old process that misses its successor once goes on accepting until SIGKILL. handover.rs, lives(): any trouble in opening or locking, as of descriptors, counted as the other's end, and its files were removed.

Change: where the socket is held by somebody else, after the signal nothing is accepted, clients are sent away, and the last word is given, successor or not. Only a lock that can be had, or none, shows an end. Stamps of files hold the seconds, too.

Checked and ruled out: a passed socket that its holder lets block again.

--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -64,6 +64,8 @@
     begun: bool,
     /// An earlier process serves at this address until this one is ready.
     succeeds: bool,
+    /// Somebody else holds the listening socket: what is left in its backlog waits for the next process.
+    held: bool,
     paused: Option<Micros>,
     /// Nobody was left at the last look since it was paused.
     empty: bool,
@@ -74,11 +76,13 @@
 }
 
 impl Lifecycle {
-    /// A process that starts. `succeeds`: another one serves meanwhile at its address. `longest`: the longest deadline.
-    pub fn new(succeeds: bool, longest: Micros) -> Lifecycle {
+    /// A process that starts. `succeeds`: another one serves meanwhile at its address. `held`: its listening socket is held
+    /// by somebody else, too. `longest`: the longest deadline.
+    pub fn new(succeeds: bool, held: bool, longest: Micros) -> Lifecycle {
         Lifecycle {
             begun: false,
             succeeds,
+            held,
             paused: None,
             empty: false,
             successor: None,
@@ -161,22 +165,27 @@
         news
     }
 
+    /// Since when new connections are another process's: a successor's or, after the signal, the next one's.
+    fn left(&self) -> Option<Micros> {
+        self.successor.into_iter().chain(self.ending.filter(|_| self.held)).min()
+    }
+
     /// Whether new connections are taken from the backlog. A successor that is not ready yet leaves them to the earlier
     /// process, and that one leaves them to its successor: the backlog is the same. A drained process still takes what
     /// comes: it is asked here whether it is ready, and who comes all the same is served.
     pub fn accepts(&self) -> bool {
-        self.successor.is_none() && (self.begun || !self.succeeds)
+        self.left().is_none() && (self.begun || !self.succeeds)
     }
 
     /// Whether each answer tells its client that the connection closes.
     pub fn sends_away(&self) -> bool {
-        self.successor.is_some() || self.paused.is_some()
+        self.left().is_some() || self.paused.is_some()
     }
 
     /// Whether a connection may stay on which nothing was open for this long.
     pub fn keeps(&self, now: Micros, idle: Micros) -> bool {
         // What shuts the door first counts.
-        let Some(since) = self.successor.into_iter().chain(self.paused).min() else { return true };
+        let Some(since) = self.left().into_iter().chain(self.paused).min() else { return true };
         let gone = now.saturating_sub(since);
         gone < FRONT_HEARS || gone < NO_MORE_IDLE && idle < QUIET
     }
@@ -185,7 +194,7 @@
     pub fn may_end(&self, now: Micros, open: usize, clients: usize, writing: bool) -> bool {
         let Some(since) = self.ending else { return false };
         let answered = open == 0 && !writing;
-        match self.successor {
+        match self.left() {
             // New connections are the successor's; those that are left here close in order.
             Some(_) => answered && clients == 0,
             None => answered && now >= since + LINGER,
@@ -194,7 +203,7 @@
 
     /// When all that is still open has to be answered, since the process is killed soon after.
     pub fn last_word(&self) -> Option<Micros> {
-        let since = self.ending.filter(|_| self.successor.is_some())?;
+        let since = self.ending.filter(|_| self.left().is_some())?;
         Some(since + self.longest.min(KILLED_AFTER) + KILL_SPARE - LAST_WORD)
     }
 }
@@ -232,8 +241,8 @@
     }
 
     /// What holds after any steps: see the single checks.
-    fn holds(steps: Vec<Step>, succeeds: bool) -> bool {
-        let (mut life, mut now) = (Lifecycle::new(succeeds, 25 * S), S);
+    fn holds(steps: Vec<Step>, succeeds: bool, held: bool) -> bool {
+        let (mut life, mut now) = (Lifecycle::new(succeeds, held, 25 * S), S);
         let (mut begun, mut paused, mut successor, mut ending) = (false, None, None, None);
         for step in steps {
             match step {
@@ -267,9 +276,10 @@
             // Yes is said only by one that serves; never both by it and a ready successor.
             let ready = life.is_ready() == (begun && free);
             // Somebody accepts, unless a successor does, or the earlier process still does.
-            let accepts = life.accepts() == (successor.is_none() && (begun || !succeeds));
+            let left = successor.into_iter().chain(ending.filter(|_| held)).min();
+            let accepts = life.accepts() == (left.is_none() && (begun || !succeeds));
             // 2 s after a drain, or a hand-over, began none is kept, however lately it was used.
-            let away = paused.into_iter().chain(successor).min();
+            let away = paused.into_iter().chain(left).min();
             let kept = !away.is_some_and(|at| now >= at + 2 * S && life.keeps(now, 0));
             let told = life.sends_away() == away.is_some();
             let stays = ending.is_some() || !life.may_end(now, 0, 0, false);
@@ -284,12 +294,12 @@
     #[test]
     fn yes_is_said_and_connections_are_kept_only_while_it_serves() {
         let mut check = QuickCheck::new().tests(20_000).rng(Gen::from_size_and_seed(40, 18));
-        check.quickcheck(holds as fn(Vec<Step>, bool) -> bool);
+        check.quickcheck(holds as fn(Vec<Step>, bool, bool) -> bool);
     }
 
     #[test]
     fn a_drain_closes_quiet_connections_first_and_ends_with_a_call_back() {
-        let mut life = Lifecycle::new(false, 25 * S);
+        let mut life = Lifecycle::new(false, false, 25 * S);
         assert!(life.begin() && life.is_ready() && life.keeps(0, 5 * S));
         assert!(life.pause(10 * S) && !life.pause(11 * S) && life.accepts());
         assert!(life.keeps(10 * S + 200_000, S));
@@ -300,7 +310,7 @@
 
     #[test]
     fn what_hands_over_gives_its_last_answers_before_it_is_killed_and_stays_while_clients_do() {
-        let mut life = Lifecycle::new(false, 25 * S);
+        let mut life = Lifecycle::new(false, false, 25 * S);
         life.begin();
         assert!(life.succeeded(S, true) && !life.succeeded(S, true) && !life.accepts());
         // Its successor dies before the signal: this one serves on.
@@ -311,9 +321,15 @@
         assert!(life.may_end(4 * S, 0, 0, false) && !life.may_end(9 * S, 0, 1, false));
         assert_eq!(life.last_word(), Some(9 * S + 400_000));
         // Without a successor a signal means what it meant.
-        let mut alone = Lifecycle::new(false, 25 * S);
+        let mut alone = Lifecycle::new(false, false, 25 * S);
         alone.end(S);
         assert!(!alone.may_end(S + 700_000, 0, 0, false) && alone.may_end(S + 800_000, 0, 3, false));
         assert_eq!(alone.last_word(), None);
+        // But where the socket is held, what comes is the next process's, whether that is heard of or not.
+        let mut held = Lifecycle::new(false, true, 25 * S);
+        held.begin();
+        held.end(4 * S);
+        assert!(!held.accepts() && held.sends_away() && !held.may_end(6 * S, 0, 1, false));
+        assert_eq!(held.last_word(), Some(9 * S + 400_000));
     }
 }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -6,7 +6,7 @@
 
 use driftfront_roster::handover::{decode, encode, Word, FILE_MOST};
 use std::collections::BTreeMap;
-use std::fs::{File, TryLockError};
+use std::fs::File;
 use std::io;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
@@ -95,8 +95,8 @@
         for &number in numbers.iter().filter(|&&n| n != self.number).take(FILES_MOST) {
             let lives = self.lives(number);
             let path = file(&self.folder, number, "word");
-            let stamp =
-                std::fs::metadata(&path).map_or((0, 0), |m| (m.ino(), m.mtime_nsec() as u64 ^ m.size()));
+            let stamp = std::fs::metadata(&path)
+                .map_or((0, 0), |m| (m.ino(), m.mtime_nsec() as u64 ^ m.size() << 32 ^ m.mtime() as u64));
             let known = self.others.get(&number).map(|o| o.stamp);
             if known != Some(stamp) {
                 let read = if stamp == (0, 0) { Ok(None) } else { read(&path).map(Some) };
@@ -120,8 +120,11 @@
 
     /// Whether a process still holds its lock.
     fn lives(&self, number: Number) -> bool {
-        let lock = File::open(file(&self.folder, number, "lock"));
-        matches!(lock.map(|l| l.try_lock_shared()), Ok(Err(TryLockError::WouldBlock)))
+        match File::open(file(&self.folder, number, "lock")) {
+            // Only a lock that can be had, or none, shows an end: any other trouble, as of descriptors, does not.
+            Ok(lock) => !matches!(lock.try_lock_shared(), Ok(())),
+            Err(e) => e.kind() != io::ErrorKind::NotFound,
+        }
     }
 
     /// Whether another process runs.
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -135,6 +135,9 @@
                 self.accepts_full += 1;
                 return;
             }
+            if self.passed && !self.unblock_listener() {
+                return;
+            }
             let stream = match self.listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -184,6 +187,16 @@
         }
     }
 
+    /// Whoever else holds a passed socket may have let it block again, and the loop would stand still in `accept`. That
+    /// is shared by all holders, so it is looked at before each call.
+    fn unblock_listener(&mut self) -> bool {
+        if socket2::SockRef::from(&*self.listener).nonblocking().is_ok_and(|n| n) {
+            return true;
+        }
+        self.unblocked += 1;
+        self.listener.set_nonblocking(true).is_ok()
+    }
+
     /// Clients' connections that may be open.
     fn most_clients(&self) -> usize {
         self.config.sockets * if self.shares { PART_WHILE_SHARED } else { PART_OF_SOCKETS } / 100
@@ -625,6 +638,7 @@
         let management = self.management.counters();
         let succeeds = u8::from(self.life.succeeds());
         let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
+        let upgrade = format!("{upgrade}listener_unblocked {}\n", self.unblocked);
         let open = self.core.open();
         format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}")
     }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -45,6 +45,8 @@
     last_conn: ConnId,
     front: Box<dyn Front>,
     listener: Rc<TcpListener>,
+    /// It was passed: others hold it, too.
+    passed: bool,
     clients: BTreeMap<ConnId, clients::Client>,
     /// The connection on which each open request waits for its answer.
     asking: BTreeMap<RequestId, (ConnId, u16, Micros)>,
@@ -76,6 +78,8 @@
     shares: bool,
     /// Orders taken over from others.
     merged: u64,
+    /// How often the passed listener was found blocking.
+    unblocked: u64,
     /// Clients' connections closed since the process is paused or hands over.
     sent_away: u64,
     /// Looks at the backlog while there was no room for another client, and clients dropped to make room.
@@ -99,7 +103,7 @@
 impl Node {
     /// Binds, takes the first list over and registers the sources of events.
     pub fn new(config: Config, events: &EventLoop<'static, Node>) -> Result<Node, String> {
-        let (listener, post) = upgrade::listener(&config)?;
+        let (listener, passed, post) = upgrade::listener(&config)?;
         let classes = config.classes.clone();
         let front: Box<dyn Front> = match config.wire {
             Wire::Platform => Box::new(Platform { classes }),
@@ -114,6 +118,7 @@
             last_conn: 0,
             front,
             listener: Rc::new(listener),
+            passed,
             clients: BTreeMap::new(),
             asking: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -128,12 +133,13 @@
             next_sweep: now,
             later: Vec::new(),
             carrying: false,
-            life: Lifecycle::new(false, longest),
+            life: Lifecycle::new(false, false, longest),
             management: management::Management::default(),
             started: now,
             post,
             shares: false,
             merged: 0,
+            unblocked: 0,
             sent_away: 0,
             accepts_full: 0,
             dropped: 0,
@@ -142,7 +148,7 @@
         // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
         node.tend_post(now);
         let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
-        node.life = Lifecycle::new(succeeds, longest);
+        node.life = Lifecycle::new(succeeds, passed, longest);
         node.open_control()?;
         node.take_known();
         node.open_management();
--- a/crates/node/src/node/upgrade.rs
+++ b/crates/node/src/node/upgrade.rs
@@ -15,8 +15,8 @@
 /// What the source tells at once is told this long after its first byte.
 const LIST_SETTLES: Micros = 60_000;
 
-/// The clients' listener, and the place among the processes of this coordinator where the listener is shared.
-pub(super) fn listener(config: &Config) -> Result<(TcpListener, Option<Post>), String> {
+/// The clients' listener, whether it was passed, and then the place among the processes of this coordinator.
+pub(super) fn listener(config: &Config) -> Result<(TcpListener, bool, Option<Post>), String> {
     let told = std::env::var(PASSED_SOCKET).ok().filter(|told| !told.is_empty());
     if let Some(told) = told {
         match driftfront_inherit::adopt(&told) {
@@ -25,13 +25,13 @@
                 if at != config.listen {
                     tracing::warn!(told = %config.listen, passed = %at, "the passed socket listens elsewhere");
                 }
-                return Ok((listener, post(config)));
+                return Ok((listener, true, post(config)));
             }
             Err(why) => tracing::error!("{PASSED_SOCKET}: {why}; the address is bound anew"),
         }
     }
     let listener = super::clients::listen(config.listen);
-    Ok((listener.map_err(|e| format!("listen on {}: {e}", config.listen))?, None))
+    Ok((listener.map_err(|e| format!("listen on {}: {e}", config.listen))?, false, None))
 }
 
 fn post(config: &Config) -> Option<Post> {
--- a/crates/node/tests/upgrade.rs
+++ b/crates/node/tests/upgrade.rs
@@ -180,6 +180,21 @@
     assert!(old.wait().success());
 }
 
+#[test]
+fn a_passed_socket_that_somebody_lets_block_again_does_not_stop_the_loop() {
+    let platform = Platform::new("blocks");
+    let site = platform.site(1);
+    for n in 0..20 {
+        // The flag is shared by all who hold the socket; the loop looks for connections at least each 25 ms.
+        platform.listener.set_nonblocking(false).unwrap();
+        // So many calls take longer than that.
+        for _ in 0..200 {
+            assert_eq!(site.coordinator.manage("STATUS\n"), "OK ready\n", "{n}");
+        }
+    }
+    assert!(site.coordinator.counter("listener_unblocked") >= 1);
+}
+
 #[test]
 fn when_a_successor_dies_the_old_process_serves_again() {
     let platform = Platform::new("dies");
