--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -21,11 +21,12 @@
         let query = Query {
             id: crate::query(id),
             class: ask.class,
-            tenant: 0,
+            tenant: ask.tenant.unwrap_or(u32::MAX),
             work: ask.work,
             memory_mb: ask.memory_mb,
             tables: ask.tables,
             key: ask.key,
+            token: ask.token.is_some(),
             pin: ask.pin,
             budget: ask.budget,
         };
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -58,6 +58,8 @@
     pub unheard: u64,
     /// Engines whose idle connections were all reset.
     pub doubted: u64,
+    /// Attempts that the module called off.
+    pub stopped: u64,
 }
 
 impl fmt::Display for Counters {
@@ -80,6 +82,7 @@
             ("doubts_dropped", self.doubts_dropped),
             ("attempts_unheard", self.unheard),
             ("engines_doubted", self.doubted),
+            ("attempts_called_off", self.stopped),
         ] {
             writeln!(f, "{name} {count}")?;
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,7 +21,7 @@
 pub use book::Counters;
 pub use fernlink::interface::{EngineId, ListKind, Listed, Micros, Note, Outcome, Phase, Pin};
 pub use running::Run;
-pub use send::{AttemptError, Cause, Progress};
+pub use send::{AttemptError, Cause, Progress, Told};
 pub use take_in::{Ask, Piece, Taken};
 
 use fernlink::interface::{Action, Event, QueryId, Settings};
@@ -101,6 +101,7 @@
 enum Due {
     Wake(u64),
     Attempt(AttemptKey),
+    GivenUp(AttemptKey),
     Answer(RequestId),
     Probe(u64),
 }
@@ -120,6 +121,8 @@
     drawn: bool,
     /// It is to be ended: no further attempt.
     called_off: bool,
+    /// Memory that its next attempts are granted, MB; 0 leaves it to the engine.
+    grant_mb: f64,
 }
 
 /// The coordinator without its sockets.
@@ -180,6 +183,7 @@
             match due {
                 Due::Wake(token) => self.tell(now, Event::Woken(token)),
                 Due::Attempt(key) => self.attempt_timed_out(now, key),
+                Due::GivenUp(key) => self.given_up(now, key),
                 Due::Answer(id) => self.answer_is_due(now, id),
                 Due::Probe(tag) => self.probed(now, tag, Outcome::TimedOut, &[]),
             }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -15,7 +15,7 @@
     }
 
     /// An attempt's answer is whole.
-    pub fn served(&mut self, now: Micros, key: AttemptKey, report: &[f64]) {
+    pub fn served(&mut self, now: Micros, key: AttemptKey) {
         if self.out(key).is_none() {
             return;
         }
@@ -23,7 +23,7 @@
             self.counters.served += 1;
             self.commands.push_back(Command::Finish(key.request));
         }
-        self.end(now, key, Outcome::Ok, report);
+        self.end(now, key, Outcome::Ok);
     }
 
     pub(crate) fn refuse(&mut self, id: RequestId, advice: Micros) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -8,6 +8,7 @@
 impl Core {
     pub(crate) fn route(&mut self, now: Micros, actions: Vec<Action>) {
         let mut actions = VecDeque::from(actions);
+        let mut called_off = Vec::new();
         while let Some(action) = actions.pop_front() {
             match action {
                 Action::Send(id, engine, patience) => {
@@ -25,11 +26,35 @@
                 Action::Wake(after, token) => self.set_timer(now.saturating_add(after), Due::Wake(token)),
                 Action::Probe(engine) => self.probe(now, engine),
                 Action::Log(line) => self.commands.push_back(Command::Log(line)),
-                // Nothing here to grant memory to, no attempt may be called off, coordinators share
-                // nothing, and lists are pushed: the settings keep the module from asking for these.
-                Action::Terms(..) | Action::Cancel(..) | Action::Tell(..) | Action::Subscribe => {}
+                Action::Terms(id, grant_mb, _) => {
+                    // Priorities have no word on any wire here.
+                    if let Some(request) = self.requests.get_mut(&RequestId(id.0)) {
+                        request.grant_mb = grant_mb;
+                    }
+                }
+                Action::Cancel(id, number) => {
+                    called_off.push(AttemptKey { request: RequestId(id.0), number })
+                }
+                // Coordinators share nothing, and lists are pushed: the settings keep the module from asking.
+                Action::Tell(..) | Action::Subscribe => {}
             }
         }
+        // The module hears of their ends as of an event of its own, after all that it asked for at once.
+        for key in called_off {
+            self.call_attempt_off(now, key);
+        }
+    }
+
+    /// The module waits no longer for an attempt: its engine is told, and the attempt ends here at once. An answer that
+    /// crosses that word finds nobody.
+    fn call_attempt_off(&mut self, now: Micros, key: AttemptKey) {
+        let Some(engine) = self.out(key).filter(|a| a.ending.is_none()).map(|a| a.engine) else { return };
+        if self.requests.get(&key.request).is_some_and(|r| r.relaying == Some(key.number)) {
+            return;
+        }
+        self.counters.stopped += 1;
+        self.commands.push_back(Command::Abandon(key, engine));
+        self.attempt_failed(now, key, crate::Cause::CalledOff);
     }
 
     /// Starts an attempt; its number if it is over before it began.
@@ -39,7 +64,12 @@
         let until = now.saturating_add(patience).min(request.deadline);
         let out = request.out().is_some();
         let barred = request.closed || request.relaying.is_some() || out;
-        request.attempts.push(Attempt::new(engine, now, until, barred.then_some(Outcome::Moot)));
+        let outcome = barred.then_some(Outcome::Moot);
+        request.attempts.push(Attempt {
+            outcome,
+            grant_mb: request.grant_mb,
+            ..Attempt::new(engine, now, until)
+        });
         if barred {
             return Some(number);
         }
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -1,10 +1,14 @@
 //! Stage 4, send: how far each attempt has come, and what its end means for the rules.
 
 use crate::RequestId;
-use crate::{query, AttemptKey, Command, Core, Fate, Request};
+use crate::{query, AttemptKey, Command, Core, Due, Fate, Request};
 use fernlink::interface::{Ended, EngineId, Event, Micros, Note, Outcome, Phase};
 use std::fmt;
 
+/// The way of a word to an engine, at most, with room for what holds it up. What we give up ourselves is out until
+/// that word is there: a further attempt that overtook it would be a second copy.
+const WAY: Micros = 40_000;
+
 /// How far an attempt has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Progress {
@@ -23,8 +27,10 @@
 /// Why an attempt ended without serving.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Cause {
-    /// The connection failed, or its peer spoke nonsense.
+    /// The connection failed, or its peer closed it.
     Connection(String),
+    /// We closed the connection: it was silent, or its peer spoke nonsense.
+    Closed(String),
     /// Its time ran out.
     TimedOut,
     /// The engine turned it away unseen.
@@ -39,6 +45,8 @@
     Statement(String),
     /// Its client left or wants it no more: nothing is wrong with the engine, where it may still run.
     Released,
+    /// The module waits for it no longer, and its engine was told to end it.
+    CalledOff,
 }
 
 /// The end of an attempt that did not serve: how far it had come, and why.
@@ -50,6 +58,13 @@
     pub cause: Cause,
 }
 
+impl Cause {
+    /// The engine hears of this end from us; of any other it knows before we do.
+    fn is_ours(&self) -> bool {
+        matches!(self, Cause::Closed(_) | Cause::TimedOut | Cause::Released | Cause::CalledOff)
+    }
+}
+
 impl AttemptError {
     /// What this proves, in the module's words.
     pub fn outcome(&self) -> Outcome {
@@ -59,10 +74,14 @@
             Cause::Engine(_) | Cause::Spoilt(_) => Outcome::Error,
             // Not written whole, it never was a query there.
             Cause::Released if self.progress < Progress::WrittenWhole => Outcome::Moot,
-            Cause::Statement(_) | Cause::Released => Outcome::Cancelled,
+            // A part already on its way becomes whole before the word that ends it.
+            Cause::CalledOff if self.progress < Progress::PartWritten => Outcome::Moot,
+            Cause::Statement(_) | Cause::Released | Cause::CalledOff => Outcome::Cancelled,
             // Not written whole, it cannot have run: the connection's end gives up the written part.
-            Cause::Connection(_) if self.progress < Progress::WrittenWhole => Outcome::Unreachable,
-            Cause::Connection(_) => Outcome::Reset,
+            Cause::Connection(_) | Cause::Closed(_) if self.progress < Progress::WrittenWhole => {
+                Outcome::Unreachable
+            }
+            Cause::Connection(_) | Cause::Closed(_) => Outcome::Reset,
             Cause::TimedOut if self.progress < Progress::PartWritten => Outcome::Unreachable,
             // A part already on its way may still become whole behind our back.
             Cause::TimedOut => Outcome::TimedOut,
@@ -81,6 +100,7 @@
         };
         match &self.cause {
             Cause::Connection(why) => write!(f, "{how}: connection failed: {why}"),
+            Cause::Closed(why) => write!(f, "{how}: connection closed: {why}"),
             Cause::TimedOut => write!(f, "{how}: timed out"),
             Cause::TurnedAway => write!(f, "{how}: turned away"),
             Cause::Engine(why) => write!(f, "{how}: engine error: {why}"),
@@ -88,6 +108,7 @@
             Cause::Withheld => write!(f, "{how}: withheld"),
             Cause::Statement(why) => write!(f, "{how}: statement at fault: {why}"),
             Cause::Released => write!(f, "{how}: released"),
+            Cause::CalledOff => write!(f, "{how}: called off"),
         }
     }
 }
@@ -105,12 +126,40 @@
     pub outcome: Option<Outcome>,
     /// It was released: its outcome doesn't tell whether it still runs.
     pub released: bool,
+    /// It was given up, and its engine may not know it yet.
+    pub ending: Option<Cause>,
+    /// Memory granted, MB; 0 leaves it to the engine.
+    pub grant_mb: f64,
+    /// What came with its answer.
+    pub told: Told,
+}
+
+/// What an engine tells with an answer, of itself and of the query.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Its load report, in the order of the settings; empty where none came.
+    pub report: Vec<f64>,
+    /// The work that the query needed, µs over all threads.
+    pub work: Option<f64>,
+    /// The memory that it needed, MB.
+    pub memory_mb: Option<f64>,
 }
 
 impl Attempt {
-    pub fn new(engine: EngineId, sent: Micros, until: Micros, outcome: Option<Outcome>) -> Attempt {
-        let progress = Progress::NotConnected;
-        Attempt { engine, sent, until, written: sent, heard: 0, progress, outcome, released: false }
+    pub fn new(engine: EngineId, sent: Micros, until: Micros) -> Attempt {
+        Attempt {
+            engine,
+            sent,
+            until,
+            written: sent,
+            heard: 0,
+            progress: Progress::NotConnected,
+            outcome: None,
+            released: false,
+            ending: None,
+            grant_mb: 0.0,
+            told: Told::default(),
+        }
     }
 
     /// It may still run, though nobody waits for it here.
@@ -180,8 +229,44 @@
         }
     }
 
-    /// An attempt ended without serving.
+    /// An engine's answer to an attempt told this, whatever the answer is.
+    pub fn told(&mut self, key: AttemptKey, told: Told) {
+        if let Some(attempt) = self.out(key) {
+            attempt.told = told;
+        }
+    }
+
+    /// Memory that an attempt is granted, MB; 0 leaves it to the engine.
+    pub fn grant_mb(&self, key: AttemptKey) -> f64 {
+        let attempts = self.requests.get(&key.request).map(|r| &r.attempts);
+        attempts.and_then(|a| a.get(usize::from(key.number))).map_or(0.0, |a| a.grant_mb)
+    }
+
+    /// An attempt ended without serving. Where its engine has to hear of that first, it ends a little later; `None`
+    /// then, as for one that is not out.
     pub fn attempt_failed(&mut self, now: Micros, key: AttemptKey, cause: Cause) -> Option<AttemptError> {
+        let open = self.requests.get(&key.request).filter(|r| !r.closed && r.relaying.is_none());
+        let waits = open.is_some_and(|r| now + 2 * WAY < r.deadline);
+        let attempt = self.out(key)?;
+        if attempt.ending.is_some() {
+            return None;
+        }
+        if waits && cause.is_ours() && attempt.progress >= Progress::PartWritten {
+            attempt.ending = Some(cause);
+            self.set_timer(now + WAY, Due::GivenUp(key));
+            return None;
+        }
+        self.attempt_over(now, key, cause)
+    }
+
+    /// The engine of an attempt that was given up knows it by now.
+    pub(crate) fn given_up(&mut self, now: Micros, key: AttemptKey) {
+        if let Some(cause) = self.out(key).and_then(|a| a.ending.take()) {
+            self.attempt_over(now, key, cause);
+        }
+    }
+
+    fn attempt_over(&mut self, now: Micros, key: AttemptKey, cause: Cause) -> Option<AttemptError> {
         let progress = self.out(key)?.progress;
         if let (Cause::Engine(words) | Cause::Statement(words), Some(request)) =
             (&cause, self.requests.get_mut(&key.request))
@@ -197,7 +282,7 @@
             // Once the client has a piece nothing is begun anew: another run could give other rows.
             self.fail(key.request);
         }
-        self.end(now, key, error.outcome(), &[]);
+        self.end(now, key, error.outcome());
         Some(error)
     }
 
@@ -230,13 +315,16 @@
         let key = AttemptKey { request: id, number };
         if let Some(attempt) = self.out(key).filter(|a| until < a.until) {
             attempt.until = until;
-            self.set_timer(until, crate::Due::Attempt(key));
+            self.set_timer(until, Due::Attempt(key));
         }
     }
 
     pub(crate) fn attempt_timed_out(&mut self, now: Micros, key: AttemptKey) {
-        let Some((engine, until)) = self.out(key).map(|a| (a.engine, a.until)) else { return };
-        if until > now {
+        let Some((engine, until, ending)) = self.out(key).map(|a| (a.engine, a.until, a.ending.is_some()))
+        else {
+            return;
+        };
+        if until > now || ending {
             return;
         }
         self.commands.push_back(Command::Abandon(key, engine));
@@ -244,12 +332,13 @@
     }
 
     /// Books an attempt's end and tells the module.
-    pub(crate) fn end(&mut self, now: Micros, key: AttemptKey, outcome: Outcome, report: &[f64]) {
+    pub(crate) fn end(&mut self, now: Micros, key: AttemptKey, outcome: Outcome) {
         if matches!(outcome, Outcome::Ok | Outcome::Error) {
             self.heard_of(now, key);
         }
         let Some(attempt) = self.out(key) else { return };
         attempt.outcome = Some(outcome);
+        let Told { report, work, memory_mb } = std::mem::take(&mut attempt.told);
         let (doubt, engine, spent) = (attempt.in_doubt(), attempt.engine, now.saturating_sub(attempt.sent));
         if doubt {
             self.remember(now, key, engine);
@@ -257,7 +346,7 @@
         self.counters.ended[crate::book::place(outcome)] += 1;
         let last = self.requests.get(&key.request).is_some_and(|r| r.closed);
         let (query, attempt) = (query(key.request), key.number);
-        let end = Ended { query, attempt, outcome, last, spent, work: None, memory_mb: None, report };
+        let end = Ended { query, attempt, outcome, last, spent, work, memory_mb, report: &report };
         self.tell(now, Event::Ended(end));
         self.drop_if_over(key.request);
     }
--- a/crates/core/src/take_in.rs
+++ b/crates/core/src/take_in.rs
@@ -20,6 +20,10 @@
     pub tables: u32,
     /// Key of its order.
     pub key: Option<u64>,
+    /// Its tenant, by place in the settings; `None` for one that they don't name.
+    pub tenant: Option<u32>,
+    /// The client's word by which engines drop repeats, passed on unchanged: the same for all tries of one request.
+    pub token: Option<Rc<str>>,
     /// Time until the client gives up.
     pub budget: Micros,
     /// Names and values that go with the statement, passed on unchanged.
@@ -55,6 +59,8 @@
             memory_mb: None,
             tables: 0,
             key: None,
+            tenant: None,
+            token: None,
             budget: 0,
             about: Rc::new([]),
             statement: Rc::new([]),
@@ -101,6 +107,7 @@
             words: None,
             drawn: false,
             called_off: false,
+            grant_mb: 0.0,
         };
         self.requests.insert(id, request);
         self.admit(now, id);
--- a/crates/core/src/unheard.rs
+++ b/crates/core/src/unheard.rs
@@ -64,7 +64,7 @@
             let safe = self.unheard.safe.get(usize::from(r.ask.class)) == Some(&true);
             let passed = self.unheard.passed.get(&a.engine).is_some_and(|&p| p > a.written);
             let whole = a.progress == crate::Progress::WrittenWhole;
-            let late = now > a.heard.max(a.written) + after;
+            let late = a.ending.is_none() && now > a.heard.max(a.written) + after;
             (safe && passed && whole && late).then_some((AttemptKey { request: id, number }, a.engine))
         };
         let lost: Vec<(AttemptKey, EngineId)> = self.requests.iter().filter_map(lost).collect();
--- /dev/null
+++ b/crates/core/tests/keyed.rs
@@ -0,0 +1,172 @@
+//! What a second deployment's settings bring: keyed classes, memory grants, attempts that may be called off, and
+//! engines that tell what a query cost.
+
+use driftfront_core::{
+    Ask, AttemptKey, Cause, Command, Core, EngineId, Limits, ListKind, Listed, Phase, Progress, RequestId,
+};
+use driftfront_settings::json::{parse, Json};
+use std::rc::Rc;
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+const LOOKUP: u16 = 0;
+const LOAD: u16 = 2;
+
+struct Rig {
+    core: Core,
+    now: u64,
+    asked: u64,
+}
+
+/// The commands of one step, by kind.
+#[derive(Default)]
+struct Told {
+    sent: Vec<AttemptKey>,
+    left: Vec<AttemptKey>,
+    refused: usize,
+    failed: usize,
+}
+
+impl Rig {
+    fn new(engines: u64) -> Rig {
+        let text = include_str!("../../node/tests/common/site.json")
+            .replace("\"single_shot\"", "\"guarded\", \"KeyScope\": \"all\", \"RepeatWindowUs\": 12000000")
+            .replace("\"Cancel\": false", "\"Cancel\": true")
+            .replace("\"SizeCores\"", "\"GrantsCount\": true, \"SaysCost\": true, \"SizeCores\"");
+        let json = parse(text.as_bytes()).expect("the example is JSON");
+        let settings = driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
+        let limits =
+            Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each: true };
+        let mut rig = Rig { core: Core::new(settings, limits, 7), now: 1000 * S, asked: 0 };
+        let line =
+            |n| Listed { engine: EngineId(n), zone: 0, kind: 0, cell: 0, phase: Phase::Ready, born: None };
+        let lines: Vec<Listed> = (1..=engines).map(line).collect();
+        rig.core.engines(rig.now, ListKind::Whole, &lines);
+        rig.commands();
+        rig
+    }
+
+    fn commands(&mut self) -> Told {
+        let mut told = Told::default();
+        while let Some(command) = self.core.command() {
+            match command {
+                Command::Send(key, _) if self.core.may_write(self.now, key).is_some() => {
+                    self.core.reached(key, Progress::WrittenWhole);
+                    told.sent.push(key);
+                }
+                Command::Abandon(key, _) => told.left.push(key),
+                Command::Refuse(..) => told.refused += 1,
+                Command::Fail(..) => told.failed += 1,
+                _ => {}
+            }
+        }
+        told
+    }
+
+    fn ask(&mut self, class: u16, token: Option<&str>) -> (RequestId, Told) {
+        self.asked += 1;
+        let ask = Ask {
+            call: format!("c{}", self.asked).into(),
+            class,
+            budget: 20 * S,
+            work: Some(if class == LOAD { 8e6 } else { 100_000.0 }),
+            memory_mb: Some(96.0),
+            token: token.map(Rc::from),
+            statement: Rc::from(*b"x"),
+            ..Ask::default()
+        };
+        let id = self.core.take(self.now, ask);
+        (id, self.commands())
+    }
+
+    fn wait(&mut self, span: u64) -> Told {
+        let until = self.now + span;
+        let mut all = Told::default();
+        while let Some(due) = self.core.next_due().filter(|&due| due <= until) {
+            self.now = self.now.max(due);
+            self.core.tick(self.now);
+            let told = self.commands();
+            all.sent.extend(told.sent);
+            all.left.extend(told.left);
+            all.refused += told.refused;
+            all.failed += told.failed;
+        }
+        self.now = until;
+        all
+    }
+
+    fn lose(&mut self, key: AttemptKey) -> Told {
+        self.core.attempt_failed(self.now, key, Cause::Connection("reset".into()));
+        self.commands()
+    }
+}
+
+#[test]
+fn a_keyed_load_that_may_have_run_goes_again_with_its_token_and_never_without() {
+    for (token, again) in [(Some("5c0f6e1a"), true), (None, false)] {
+        let mut rig = Rig::new(2);
+        let first = rig.ask(LOAD, token).1.sent[0];
+        rig.wait(S);
+        let told = rig.lose(first);
+        assert_eq!((told.sent.len(), told.failed), (usize::from(again), usize::from(!again)), "{token:?}");
+    }
+}
+
+#[test]
+fn a_keyed_load_does_not_go_again_once_engines_no_longer_know_it() {
+    let mut rig = Rig::new(2);
+    let first = rig.ask(LOAD, Some("5c0f6e1a")).1.sent[0];
+    rig.wait(12 * S);
+    let told = rig.lose(first);
+    assert!(told.sent.is_empty());
+    assert_eq!(told.refused + told.failed, 1);
+}
+
+#[test]
+fn what_is_called_off_is_made_again_only_once_its_engine_can_know() {
+    let mut rig = Rig::new(2);
+    // The class's usual run is learnt first, so that one that overruns can be told.
+    for _ in 0..8 {
+        let key = rig.ask(LOOKUP, None).1.sent[0];
+        rig.wait(20 * MS);
+        rig.core.served(rig.now, key);
+        rig.commands();
+    }
+    let first = rig.ask(LOOKUP, None).1.sent[0];
+    let mut left = Vec::new();
+    for _ in 0..200 {
+        let told = rig.wait(10 * MS);
+        left.extend(told.left);
+        if !left.is_empty() {
+            assert!(told.sent.is_empty(), "sent in the same moment as the word that ends the one before");
+            break;
+        }
+    }
+    assert_eq!(left, [first]);
+    assert!(rig.core.is_out(first));
+    assert!(rig.wait(25 * MS).sent.is_empty());
+    let again = rig.wait(50 * MS).sent;
+    assert_eq!((again.len(), again[0].request), (1, first.request));
+    assert!(!rig.core.is_out(first));
+    assert_eq!(rig.core.counters().stopped, 1);
+}
+
+#[test]
+fn what_was_lost_with_a_connection_that_we_closed_waits_as_long() {
+    let mut rig = Rig::new(2);
+    let first = rig.ask(LOOKUP, None).1.sent[0];
+    rig.core.attempt_failed(rig.now, first, Cause::Closed("nonsense".into()));
+    assert!(rig.commands().sent.is_empty() && rig.wait(30 * MS).sent.is_empty());
+    assert_eq!(rig.wait(20 * MS).sent.len(), 1);
+    // What the engine's side ended needs no such wait.
+    let second = rig.ask(LOOKUP, None).1.sent[0];
+    assert_eq!(rig.lose(second).sent.len(), 1);
+}
+
+#[test]
+fn the_module_s_grant_goes_with_the_attempt() {
+    let mut rig = Rig::new(2);
+    let first = rig.ask(LOOKUP, None).1.sent[0];
+    let granted = rig.core.grant_mb(first);
+    assert!((96.0..1000.0).contains(&granted), "{granted}");
+}
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -235,7 +235,7 @@
             Step::Serve { pick } => {
                 if let Some(key) = self.written(pick) {
                     self.out.remove(&key);
-                    self.core.served(self.now, key, &[]);
+                    self.core.served(self.now, key);
                 }
             }
             Step::Fail { pick, how } => {
--- a/crates/core/tests/unheard.rs
+++ b/crates/core/tests/unheard.rs
@@ -108,7 +108,7 @@
         rig.wait(begin + 100_000);
         let second = rig.ask(LOOKUP);
         rig.core.noted(rig.now, second, Note::Progress(0.1));
-        rig.core.served(rig.now, second, &[]);
+        rig.core.served(rig.now, second);
         assert!(rig.wait(begin + 4 * S).1.is_empty());
     }
 }
--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -407,7 +407,8 @@
             if !placed || !room || !self.may_send(now, id, e) {
                 continue;
             }
-            let bad = now < e.shut_until || e.on_trial && (!e.out.is_empty() || c.effect == Effect::Unsafe);
+            let bad =
+                now < e.shut_until || e.on_trial && (!e.out.is_empty() || self.effect(id) == Effect::Unsafe);
             let behind_load = (c.load || c.waits_for_loads) && self.holds_group(e, job.query.tables);
             let full = self.sliver() && e.full_at.is_some_and(|t| now < t + FULL_FOR);
             let lost = self.tally.lost.get(&e.zone).is_some_and(|l| l.len() >= LOST);
@@ -438,7 +439,7 @@
             RepeatGroup::Zone => t.zone == e.zone,
             RepeatGroup::Cell => t.cell == e.cell,
         };
-        match c.effect {
+        match self.effect(id) {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
             Effect::Keyed => ran.all(|t| grouped(t) && now + 2 * self.cfg.tick < t.sent + c.repeat_window),
@@ -447,9 +448,9 @@
 
     /// Whether a refusal would be true: nothing may have run, or a repeat does no harm.
     fn may_refuse(&self, id: QueryId) -> bool {
-        let (job, c) = (&self.jobs[&id], self.class(id));
-        let clean = job.tries.iter().all(|t| t.outcome.is_some_and(Outcome::never_ran));
-        clean || c.effect == Effect::Safe || c.effect == Effect::Keyed && c.repeat_group == RepeatGroup::All
+        let clean = self.jobs[&id].tries.iter().all(|t| t.outcome.is_some_and(Outcome::never_ran));
+        let keyed = self.class(id).repeat_group == RepeatGroup::All && self.effect(id) == Effect::Keyed;
+        clean || self.effect(id) == Effect::Safe || keyed
     }
 
     /// Rule 4: our n-th of what a cold engine may be sent in any window. Against crowds on engines just
@@ -702,7 +703,7 @@
 
     /// Takes from the tenant's quota at this gateway; true if it was used up.
     fn over_quota(&mut self, now: Micros, tenant: u32) -> bool {
-        let Some(t) = self.cfg.tenants.get(tenant as usize) else { return false };
+        let Some(t) = self.cfg.tenants.get(tenant as usize) else { return !self.cfg.tenants.is_empty() };
         let rate = t.quota_per_s * self.tally.share;
         !self.quotas[tenant as usize].take(now, rate, (rate * QUOTA_SPAN).max(QUOTA_LEAST))
     }
@@ -728,7 +729,7 @@
         let Some(engine) = self.record_end(end) else { return };
         let answered = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
         self.take_report(now, engine, end.report, answered);
-        let (safe, sliver) = (self.class(id).effect == Effect::Safe, self.sliver());
+        let (safe, sliver) = (self.effect(id) == Effect::Safe, self.sliver());
         let erred = f64::from(u8::from(outcome == Outcome::Error));
         if let Some(e) = self.engines.get_mut(&engine).filter(|_| answered) {
             e.errs += 3.0 * BLEND * (erred - e.errs);
--- a/crates/fernlink/src/interface.rs
+++ b/crates/fernlink/src/interface.rs
@@ -255,6 +255,8 @@
     pub tables: u32,
     /// Key of its order, if its class keeps one.
     pub key: Option<u64>,
+    /// Engines know its repeats by a word of the client's. Without one a keyed class's must not run twice.
+    pub token: bool,
     /// Its engine, if it has one already.
     pub pin: Option<Pin>,
     /// Time until the client gives up.
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -413,6 +413,14 @@
         &self.cfg.classes[usize::from(self.jobs[&id].query.class)]
     }
 
+    /// How often a query's effect may happen: what engines can't know again must not run twice.
+    pub(crate) fn effect(&self, id: QueryId) -> Effect {
+        match self.class(id).effect {
+            Effect::Keyed if !self.jobs[&id].query.token => Effect::Unsafe,
+            effect => effect,
+        }
+    }
+
     /// Whether a load of ours holds the table group there, or a query of ours waits for somebody's.
     pub(crate) fn holds_group(&self, e: &Engine, tables: u32) -> bool {
         self.outs(e).any(|(q, t)| self.jobs[&q].query.tables == tables && (self.class(q).load || t.blocked))
--- a/crates/fernlink/tests/common/mod.rs
+++ b/crates/fernlink/tests/common/mod.rs
@@ -94,6 +94,7 @@
             memory_mb: None,
             tables,
             key: None,
+            token: true,
             pin: None,
             budget: 60 * S,
         }
--- a/crates/fernlink/tests/fleet.rs
+++ b/crates/fernlink/tests/fleet.rs
@@ -57,6 +57,7 @@
             memory_mb: None,
             tables: 3,
             key: None,
+            token: true,
             pin: None,
             budget: 20 * S,
         };
--- a/crates/node/src/backs/clickhouse.rs
+++ b/crates/node/src/backs/clickhouse.rs
@@ -155,7 +155,7 @@
         if !self.passing || !self.held.is_empty() {
             self.pass(key, true, seen);
         }
-        seen.push(Seen::Served(key, Vec::new()));
+        seen.push(Seen::Served(key));
     }
 }
 
--- a/crates/node/src/backs/lines.rs
+++ b/crates/node/src/backs/lines.rs
@@ -1,8 +1,9 @@
 //! The platform's engine wire: lines of words, many requests on one connection.
 
 use super::{Seen, Session, Start};
-use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome, Piece};
+use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome, Piece, Told};
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::rc::Rc;
 
 /// Longest line, longest page and most pages that an engine may send: a page has at most 6,000 bytes, a
@@ -16,6 +17,9 @@
 /// A page that has not come by then is asked for again; a result that is not whole by then never will be.
 const PAGE_AGAIN: Micros = 250_000;
 const PAGES_LATE: Micros = 1_200_000;
+/// The largest figure that is believed, of work in ms and of memory in MB, and the largest grant written.
+const FIGURE_MOST: f64 = 1e9;
+const GRANT_MOST: f64 = 1e9;
 
 /// An answer's words.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +34,11 @@
     fn field(&self, name: &str) -> Option<&str> {
         self.fields.split(',').find_map(|f| f.strip_prefix(name)?.strip_prefix('='))
     }
+
+    /// A figure above 0 that can be planned with; what can't counts as not told.
+    fn figure(&self, name: &str) -> Option<f64> {
+        self.field(name)?.parse().ok().filter(|n| *n > 0.0 && *n <= FIGURE_MOST)
+    }
 }
 
 /// Cuts an engine's bytes into answers.
@@ -89,7 +98,7 @@
 struct Open {
     key: AttemptKey,
     pages: Vec<Option<Vec<u8>>>,
-    report: Vec<f64>,
+    told: Told,
     /// When page 0 came, and whether missing pages have been asked for again.
     begun: Micros,
     again: bool,
@@ -153,11 +162,17 @@
         let key = open.key;
         if let Some(cause) = cause {
             self.open.remove(&*answer.id);
+            seen.push(Seen::Told(key, Told { report, ..Told::default() }));
             seen.push(Seen::Failed(key, cause));
         } else if answer.word == "INFO" {
             seen.extend(note(&answer).map(|note| Seen::Noted(key, note)));
         } else {
-            match open.page(now, &answer, report) {
+            let told = Told {
+                report,
+                work: answer.figure("effort").map(|ms| ms * 1000.0),
+                memory_mb: answer.figure("high"),
+            };
+            match open.page(now, &answer, told) {
                 Ok(false) => return Ok(()),
                 Ok(true) => seen.push(Seen::Begun(key)),
                 Err(e) => {
@@ -177,7 +192,8 @@
                 if let Some(done) = self.open.remove(&*answer.id) {
                     let rows = done.pages.into_iter().flatten().flatten().collect();
                     seen.push(Seen::Piece(key, Piece { about: Vec::new(), whole: true, rows }));
-                    seen.push(Seen::Served(key, done.report));
+                    seen.push(Seen::Told(key, done.told));
+                    seen.push(Seen::Served(key));
                 }
             }
         }
@@ -187,7 +203,7 @@
 
 impl Open {
     /// Takes a page; false if it is there already.
-    fn page(&mut self, now: Micros, answer: &Answer, report: Vec<f64>) -> Result<bool, &'static str> {
+    fn page(&mut self, now: Micros, answer: &Answer, told: Told) -> Result<bool, &'static str> {
         let number = |name: &str| answer.field(name).and_then(|n| n.parse::<usize>().ok());
         let first = answer.word == "HIT";
         if first && !self.pages.is_empty() {
@@ -204,7 +220,7 @@
                 return Err("too many pages");
             }
             self.pages = vec![None; pages];
-            (self.report, self.begun) = (report, now);
+            (self.told, self.begun) = (told, now);
         } else {
             place = number("fetch_no").ok_or("no page number")?;
         }
@@ -264,10 +280,17 @@
     fn start(&mut self, start: &Start, out: &mut Vec<u8>) {
         let ms = (start.patience / 1000).max(1);
         let length = start.ask.statement.len();
-        out.extend(format!("REQ {} kind={},ms={ms} {length}\r\n", start.ask.call, start.class).bytes());
+        let mut fields = format!("kind={},ms={ms}", start.class);
+        if let Some(token) = &start.ask.token {
+            let _ = write!(fields, ",token={token}");
+        }
+        if start.grant_mb > 0.0 {
+            let _ = write!(fields, ",workmem={}", start.grant_mb.min(GRANT_MOST).ceil());
+        }
+        out.extend(format!("REQ {} {fields} {length}\r\n", start.ask.call).bytes());
         out.extend_from_slice(&start.ask.statement);
         out.extend_from_slice(b"\r\n");
-        let open = Open { key: start.key, pages: Vec::new(), report: Vec::new(), begun: 0, again: false };
+        let open = Open { key: start.key, pages: Vec::new(), told: Told::default(), begun: 0, again: false };
         self.open.insert(start.ask.call.clone(), open);
     }
     fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool {
--- a/crates/node/src/backs/mod.rs
+++ b/crates/node/src/backs/mod.rs
@@ -3,7 +3,7 @@
 pub mod clickhouse;
 pub mod lines;
 
-use driftfront_core::{Ask, AttemptKey, Cause, Micros, Note, Outcome, Piece};
+use driftfront_core::{Ask, AttemptKey, Cause, Micros, Note, Outcome, Piece, Told};
 
 /// What an engine's connection has brought.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,8 +14,10 @@
     Begun(AttemptKey),
     /// A piece of the answer, to be passed on.
     Piece(AttemptKey, Piece),
+    /// What an answer told of the engine and the query; comes before the attempt's end.
+    Told(AttemptKey, Told),
     /// The answer is whole.
-    Served(AttemptKey, Vec<f64>),
+    Served(AttemptKey),
     /// The attempt ended without serving.
     Failed(AttemptKey, Cause),
     /// A probe's result.
@@ -34,6 +36,8 @@
     pub name: &'a str,
     /// How long the coordinator will wait.
     pub patience: Micros,
+    /// Memory granted, MB; 0 leaves it to the engine.
+    pub grant_mb: f64,
     /// How often it should tell of its progress; `None` where that is not wanted.
     pub notes_every: Option<Micros>,
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -63,6 +63,8 @@
     pub settings: Settings,
     /// The classes as clients name them.
     pub classes: Classes,
+    /// The tenants' names, by place.
+    pub tenants: Rc<[String]>,
     /// Names of zones and of machine kinds, by place.
     pub zones: Vec<String>,
     /// See `zones`.
@@ -226,6 +228,7 @@
                 names: classes.into(),
                 patience: profiles().map(|p| p.get("DeadlineUs").whole().unwrap_or(30_000_000)).collect(),
             },
+            tenants: json.get("Tenants").each().map(|t| t.get("Name").text().unwrap_or("").into()).collect(),
             zones: names(json.get("FailureDomains")),
             kinds: names(json.get("MachineTypes")),
             gauges: fields.into_iter().map(gauge).collect(),
--- a/crates/node/src/fronts/clickhouse.rs
+++ b/crates/node/src/fronts/clickhouse.rs
@@ -154,6 +154,7 @@
             class,
             tables: query.shape.tables,
             key,
+            token: query.token.as_deref().map(Rc::from),
             budget,
             about: about(&query, target),
             statement: Rc::from(request.body),
--- a/crates/node/src/fronts/platform.rs
+++ b/crates/node/src/fronts/platform.rs
@@ -17,11 +17,15 @@
 /// client leaves that much before the told patience has passed here. It was seen to: 110 to 170 ms; two on
 /// new connections before it make more than 500.
 const KEY_HOLD_MS: f64 = 600.0;
+/// Longest dedupe key taken: the usual ones have 32 characters, and an engine's line has its bound.
+const TOKEN_MOST: usize = 128;
 
 /// Reads the platform's requests.
 pub struct Platform {
     /// The classes.
     pub classes: Classes,
+    /// The tenants' names, by place in the settings.
+    pub tenants: Rc<[String]>,
 }
 
 fn error(status: u16, words: &str) -> Intake {
@@ -50,7 +54,7 @@
             return error(405, "statements are posted");
         }
         let deadline = self.classes.patience.get(usize::from(class)).copied().unwrap_or(Micros::MAX);
-        match ask(request, class, deadline) {
+        match self.ask(request, class, deadline) {
             Ok(ask) => Intake::Take(ask, Box::new(Rows::default())),
             Err(words) => error(400, words),
         }
@@ -63,48 +67,71 @@
     fits.then(|| u64::from_str_radix(word, 16).ok()).flatten()
 }
 
-fn ask(request: Request, class: u16, deadline: Micros) -> Result<Ask, &'static str> {
-    // Which of two would be meant can't be told.
-    let fields = ["X-Call-Id", "X-Patience-Ms", "X-Repeat", "X-Weight-Ms", "X-Need-Mb", "X-Entity"];
-    let times = |name: &str| request.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name)).count();
-    if fields.iter().any(|name| times(name) > 1) {
-        return Err("a field stands twice");
-    }
-    let field = |name: &str| header(&request.headers, name);
-    // The id becomes a word on the engines' wire: a blank or a line break in it would forge commands, and an
-    // engine that can't read a line closes the connection with all that is open on it.
-    let call = field("X-Call-Id").ok_or("X-Call-Id is missing")?;
-    hex16(call).ok_or("X-Call-Id is no id")?;
-    if field("X-Repeat").is_some_and(|r| r != "1") {
-        return Err("X-Repeat is not 1");
-    }
-    let number = |name: &str| match field(name).map(str::parse::<f64>) {
-        None => Ok(None),
-        Some(Ok(n)) if (0.0..=FIGURE_MOST).contains(&n) => Ok(Some(n)),
-        Some(_) => Err("a header's number can't be read"),
-    };
-    let patience = number("X-Patience-Ms")?.ok_or("X-Patience-Ms is missing")?;
-    if patience <= 0.0 || patience * 1000.0 > PATIENCE_MOST * deadline as f64 {
-        return Err("X-Patience-Ms is out of range");
-    }
-    let statement = std::str::from_utf8(&request.body).map_err(|_| "the statement is not text")?;
-    // Engines answer what they can't use with an error, which would look like a fault of theirs.
-    if statement.trim().is_empty() || statement.chars().any(|c| c.is_control() && !c.is_whitespace()) {
-        return Err("the statement is empty or no text");
+/// A word that can stand in a list of fields on the engines' wire, where a comma, a blank or a line break would forge
+/// others.
+fn word(text: &str) -> Option<&str> {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b"-._".contains(&b);
+    (!text.is_empty() && text.len() <= TOKEN_MOST && text.bytes().all(fits)).then_some(text)
+}
+
+impl Platform {
+    fn ask(&self, request: Request, class: u16, deadline: Micros) -> Result<Ask, &'static str> {
+        // Which of two would be meant can't be told.
+        let fields = [
+            "X-Call-Id",
+            "X-Patience-Ms",
+            "X-Customer",
+            "X-Repeat",
+            "X-Dedupe-Key",
+            "X-Weight-Ms",
+            "X-Need-Mb",
+            "X-Entity",
+        ];
+        let times = |name: &str| request.headers.iter().filter(|h| h.0.eq_ignore_ascii_case(name)).count();
+        if fields.iter().any(|name| times(name) > 1) {
+            return Err("a field stands twice");
+        }
+        let field = |name: &str| header(&request.headers, name);
+        // The id becomes a word on the engines' wire: a blank or a line break in it would forge commands, and an
+        // engine that can't read a line closes the connection with all that is open on it.
+        let call = field("X-Call-Id").ok_or("X-Call-Id is missing")?;
+        hex16(call).ok_or("X-Call-Id is no id")?;
+        if field("X-Repeat").is_some_and(|r| r != "1") {
+            return Err("X-Repeat is not 1");
+        }
+        let number = |name: &str| match field(name).map(str::parse::<f64>) {
+            None => Ok(None),
+            Some(Ok(n)) if (0.0..=FIGURE_MOST).contains(&n) => Ok(Some(n)),
+            Some(_) => Err("a header's number can't be read"),
+        };
+        let patience = number("X-Patience-Ms")?.ok_or("X-Patience-Ms is missing")?;
+        if patience <= 0.0 || patience * 1000.0 > PATIENCE_MOST * deadline as f64 {
+            return Err("X-Patience-Ms is out of range");
+        }
+        let statement = std::str::from_utf8(&request.body).map_err(|_| "the statement is not text")?;
+        // Engines answer what they can't use with an error, which would look like a fault of theirs.
+        if statement.trim().is_empty() || statement.chars().any(|c| c.is_control() && !c.is_whitespace()) {
+            return Err("the statement is empty or no text");
+        }
+        let key = field("X-Entity").map(|k| hex16(k).ok_or("X-Entity is no key")).transpose()?;
+        let token = field("X-Dedupe-Key").map(|t| word(t).ok_or("X-Dedupe-Key is no key")).transpose()?;
+        // One that the settings don't name has no share, and takes none of another's.
+        let tenant = field("X-Customer").and_then(|t| self.tenants.iter().position(|n| n == t));
+        let held = if key.is_some() { KEY_HOLD_MS.min(patience / 10.0) } else { 0.0 };
+        Ok(Ask {
+            call: call.into(),
+            class,
+            work: number("X-Weight-Ms")?.map(|ms| ms * 1000.0).filter(|&w| w > 0.0),
+            memory_mb: number("X-Need-Mb")?.filter(|&m| m > 0.0),
+            tables: table_group(statement),
+            key,
+            tenant: tenant.map(|n| n as u32),
+            token: token.map(Rc::from),
+            budget: ((patience - held) * 1000.0) as Micros,
+            statement: Rc::from(request.body),
+            ..Ask::default()
+        })
     }
-    let key = field("X-Entity").map(|k| hex16(k).ok_or("X-Entity is no key")).transpose()?;
-    let held = if key.is_some() { KEY_HOLD_MS.min(patience / 10.0) } else { 0.0 };
-    Ok(Ask {
-        call: call.into(),
-        class,
-        work: number("X-Weight-Ms")?.map(|ms| ms * 1000.0).filter(|&w| w > 0.0),
-        memory_mb: number("X-Need-Mb")?.filter(|&m| m > 0.0),
-        tables: table_group(statement),
-        key,
-        budget: ((patience - held) * 1000.0) as Micros,
-        statement: Rc::from(request.body),
-        ..Ask::default()
-    })
 }
 
 /// Writes a result's rows as JSON.
@@ -160,6 +187,7 @@
         let names: Vec<String> = vec!["lookup".into(), "member-load".into()];
         let mut front = Platform {
             classes: Classes { names: names.into(), patience: Rc::from([2_500_000, 25_000_000]) },
+            tenants: Rc::from(["east".to_string(), "west".to_string(), "east".to_string()]),
         };
         front.intake(
             Request { method, target, headers, body, close: false, goes_on: false, version_1_1: true },
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -314,7 +314,7 @@
                 }
             }
             match flushed {
-                Err(e) => return self.drop_engine(now, id, &e.to_string()),
+                Err(e) => return self.lose_engine(now, id, &e.to_string()),
                 Ok(false) => return,
                 Ok(true) => {}
             }
@@ -359,7 +359,8 @@
                         self.config.settings.notes_every.filter(|_| effect == Some(Effect::Safe));
                     let other = (self.config.wire == Wire::ClickHouse).then(|| self.core.name_on_engine(key));
                     let name = other.as_ref().map_or(&*taken.ask.call, |o| o);
-                    let start = Start { key, ask: taken.ask, class, name, patience, notes_every };
+                    let grant_mb = self.core.grant_mb(key);
+                    let start = Start { key, ask: taken.ask, class, name, patience, grant_mb, notes_every };
                     conn.session.start(&start, &mut out);
                     let begin = conn.link.queued();
                     let mut end = begin + out.len() as u64;
@@ -429,7 +430,7 @@
                 Err(e) => {
                     // Reset, not refused: it had come up, so there is somebody.
                     conn.up = e.kind() == ErrorKind::ConnectionReset;
-                    return self.drop_engine(now, id, &e.to_string());
+                    return self.lose_engine(now, id, &e.to_string());
                 }
             }
         }
@@ -468,7 +469,7 @@
                 Ok(end) => end,
                 Err(e) => {
                     let (engine, idle) = (conn.engine, conn.is_idle());
-                    self.drop_engine(now, id, &e.to_string());
+                    self.lose_engine(now, id, &e.to_string());
                     if idle && !self.engines.values().any(|c| c.is_up_on(engine)) {
                         // Nothing was out to be lost, so only this tells that its process may have ended.
                         self.core.doubted(now, engine);
@@ -494,7 +495,7 @@
             }
             match (fed, end) {
                 (Err(e), _) => return self.drop_engine(now, id, &e),
-                (_, ReadEnd::Closed) => return self.drop_engine(now, id, "closed by the engine"),
+                (_, ReadEnd::Closed) => return self.lose_engine(now, id, "closed by the engine"),
                 (_, ReadEnd::Dry) => return self.engine_write(now, id),
                 (_, ReadEnd::Enough) => {}
             }
@@ -538,11 +539,12 @@
                 Seen::Noted(key, note) => self.core.noted(now, key, note),
                 Seen::Begun(key) => self.core.reached(key, Progress::AnswerBegun),
                 Seen::Piece(key, piece) => self.core.relay(key, piece),
-                Seen::Served(key, report) => {
+                Seen::Told(key, told) => self.core.told(key, told),
+                Seen::Served(key) => {
                     if let Some((engine, sent)) = self.core.sent(key).filter(|_| self.control.is_some()) {
                         self.engine_served(now, engine, now.saturating_sub(sent));
                     }
-                    self.core.served(now, key, &report);
+                    self.core.served(now, key);
                 }
                 Seen::Failed(key, cause) => self.attempt_failed(now, key, cause),
                 Seen::Probed(CHECK_TAG, ..) => {}
@@ -552,8 +554,17 @@
         self.carry_out();
     }
 
-    /// A connection ends; each attempt on it ends as far as it had come.
+    /// We close a connection; each attempt on it ends as far as it had come, once the engine can know.
     pub(super) fn drop_engine(&mut self, now: Micros, id: ConnId, why: &str) {
+        self.end_engine(now, id, Cause::Closed(why.into()));
+    }
+
+    /// A connection has ended; each attempt on it with it.
+    fn lose_engine(&mut self, now: Micros, id: ConnId, why: &str) {
+        self.end_engine(now, id, Cause::Connection(why.into()));
+    }
+
+    fn end_engine(&mut self, now: Micros, id: ConnId, cause: Cause) {
         let Some(mut conn) = self.engines.remove(&id) else { return };
         self.unwatch(conn.token.take());
         self.paused -= usize::from(conn.paused);
@@ -561,10 +572,10 @@
             self.feeds.remove(&key.request);
         }
         if !conn.is_idle() {
-            tracing::debug!(engine = conn.engine.0, "connection lost: {why}");
+            tracing::debug!(engine = conn.engine.0, ?cause, "connection lost");
         }
         for key in conn.session.open() {
-            self.attempt_failed(now, key, Cause::Connection(why.into()));
+            self.attempt_failed(now, key, cause.clone());
         }
         for tag in conn.session.probes().into_iter().filter(|&t| t != CHECK_TAG) {
             self.core.probed(now, tag, Outcome::Reset, &[]);
@@ -574,7 +585,7 @@
         for work in conn.waiting {
             match work {
                 Work::Attempt(key, moves) if moves_on(moves) => self.send(now, key, conn.engine, moves + 1),
-                Work::Attempt(key, _) => self.attempt_failed(now, key, Cause::Connection(why.into())),
+                Work::Attempt(key, _) => self.attempt_failed(now, key, cause.clone()),
                 Work::Probe(CHECK_TAG) => {}
                 Work::Probe(tag) => self.core.probed(now, tag, Outcome::Unreachable, &[]),
             }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -106,7 +106,7 @@
         let (listener, passed, post) = upgrade::listener(&config)?;
         let classes = config.classes.clone();
         let front: Box<dyn Front> = match config.wire {
-            Wire::Platform => Box::new(Platform { classes }),
+            Wire::Platform => Box::new(Platform { classes, tenants: config.tenants.clone() }),
             Wire::ClickHouse => Box::new(ClickHouse::new(classes, config.clickhouse, config.seed)),
         };
         let now = unix_now();
--- a/crates/node/tests/wires.rs
+++ b/crates/node/tests/wires.rs
@@ -6,7 +6,7 @@
 use driftfront::members::etcd::Etcd;
 use driftfront::members::stream::Stream;
 use driftfront::members::{facts, Watch};
-use driftfront_core::{Ask, AttemptKey, Cause, ListKind, Phase, RequestId};
+use driftfront_core::{Ask, AttemptKey, Cause, ListKind, Phase, RequestId, Told};
 use driftfront_http::{chunk, Fault, Request, RequestReader, ResponsePart, ResponseReader, LAST_CHUNK};
 use driftfront_roster::{Change, Roster};
 use driftfront_settings::json::Json;
@@ -139,6 +139,7 @@
                             class: "k",
                             name: &ask.call,
                             patience: 1_500_999,
+                            grant_mb: 0.0,
                             notes_every: None,
                         },
                         &mut out,
@@ -164,7 +165,7 @@
                     if come == 2 {
                         let rows = b"0\ta\tb\n1\ta\tb\n2\ta\tb\n".to_vec();
                         let piece = driftfront_core::Piece { about: Vec::new(), rows, whole: true };
-                        want.extend([Seen::Piece(key(id), piece), Seen::Served(key(id), Vec::new())]);
+                        want.extend([Seen::Piece(key(id), piece), told(key(id)), Seen::Served(key(id))]);
                         model.remove(&id);
                     }
                 }
@@ -176,7 +177,9 @@
                 Step::End(id, full) => {
                     text = format!("c{id} {} - 0\r\n\r\n", if full { "SHED" } else { "FAULT" });
                     let cause = if full { Cause::TurnedAway } else { Cause::Engine("FAULT".into()) };
-                    want.extend(model.remove(&id).map(|_| Seen::Failed(key(id), cause)));
+                    if model.remove(&id).is_some() {
+                        want.extend([told(key(id)), Seen::Failed(key(id), cause)]);
+                    }
                 }
                 Step::Stop(id) => {
                     assert!(lines.stop(key(id), &mut out));
@@ -217,7 +220,15 @@
     let open = || {
         let mut lines = Lines::new(32, Rc::from([]));
         lines.start(
-            &Start { key, ask: &ask("c1"), class: "k", name: "c1", patience: 1000, notes_every: None },
+            &Start {
+                key,
+                ask: &ask("c1"),
+                class: "k",
+                name: "c1",
+                patience: 1000,
+                grant_mb: 0.0,
+                notes_every: None,
+            },
             &mut Vec::new(),
         );
         lines
@@ -263,16 +274,29 @@
     for (name, fine) in [("c1", true), ("c0", false)] {
         let (mut http, mut seen) = (Http::new("h".into()), Vec::new());
         http.start(
-            &Start { key, ask: &ask("c1"), class: "k", name: "c1", patience: 1000, notes_every: None },
+            &Start {
+                key,
+                ask: &ask("c1"),
+                class: "k",
+                name: "c1",
+                patience: 1000,
+                grant_mb: 0.0,
+                notes_every: None,
+            },
             &mut Vec::new(),
         );
         let answer =
             format!("HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: {name}\r\nContent-Length: 2\r\n\r\n1\n");
         assert_eq!(http.feed(0, answer.as_bytes(), &mut Vec::new(), &mut seen).is_ok(), fine);
-        assert_eq!(seen.contains(&Seen::Served(key, Vec::new())), fine);
+        assert_eq!(seen.contains(&Seen::Served(key)), fine);
     }
 }
 
+/// An engine that tells nothing of itself or the query.
+fn told(key: AttemptKey) -> Seen {
+    Seen::Told(key, Told::default())
+}
+
 fn ask(call: &str) -> Ask {
     Ask { call: call.into(), statement: Rc::from(*b"x"), ..Ask::default() }
 }
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -206,6 +206,7 @@
                     memory_mb,
                     tables,
                     key,
+                    token: true,
                     pin: None,
                     budget,
                 })
