Dedupe keys remembered over a client's tries; what none may run again is answered at once

A connection may take 0.25 s to come up, so a window checked at choice alone can have passed at the first byte. And loads whose answers are lost waited for their deadline, though engines would drop the repeat.

Counters tokens_late, tokens_missing, tokens_dropped, tenants_unnamed.

Tried and left out: refusing what arrives while no engine is ready.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -5,6 +5,10 @@
 
 /// Advice with a refusal that only the bound on open requests caused.
 pub(crate) const FULL_ADVICE: Micros = 250_000;
+/// Why a query under a word that may have run too long ago is not run.
+const TOKEN_LATE: &str =
+    "Code: 389. DB::Exception: an earlier try under this deduplication token may have run, and \
+                          engines no longer know it: it is not run again. (INSERT_WAS_DEDUPLICATED)";
 
 impl Core {
     pub(crate) fn admit(&mut self, now: Micros, id: RequestId) {
@@ -16,6 +20,15 @@
         if self.names.contains_key(&request.ask.call) {
             return self.fail(id);
         }
+        let (class, token) = (request.ask.class, request.ask.token.clone());
+        let known_until = self.tokens.good_until(class, token.as_ref());
+        if known_until.is_some_and(|t| now >= t) {
+            // What runs under its word may be running or done, and engines would take it for new.
+            self.counters.tokens_late += 1;
+            return self.fail_saying(id, TOKEN_LATE);
+        }
+        self.tokens.taken(class, token.as_ref(), request.deadline);
+        let Some(request) = self.requests.get(&id) else { return };
         self.names.insert(request.ask.call.clone(), id);
         let ask = &request.ask;
         let query = Query {
@@ -27,9 +40,12 @@
             tables: ask.tables,
             key: ask.key,
             token: ask.token.is_some(),
+            known_until,
             pin: ask.pin,
             budget: ask.budget,
         };
+        self.counters.tenants_unnamed += u64::from(self.has_tenants && ask.tenant.is_none());
+        self.counters.tokens_missing += u64::from(self.tokens.is_keyed(class) && token.is_none());
         // The module answers in time by itself; this guards the promise should it ever not.
         let last = request.deadline.saturating_sub(self.limits.answer_margin);
         self.set_timer(last, Due::Answer(id));
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -60,6 +60,14 @@
     pub doubted: u64,
     /// Attempts that the module called off.
     pub stopped: u64,
+    /// Keyed requests not run, since an earlier try may have run too long ago for engines to know.
+    pub tokens_late: u64,
+    /// Requests of a tenant that the settings don't name, where they name some.
+    pub tenants_unnamed: u64,
+    /// Words of keyed requests dropped early: the bound on them bit.
+    pub tokens_dropped: u64,
+    /// Keyed attempts without a word to know their repeats by: they run once.
+    pub tokens_missing: u64,
 }
 
 impl fmt::Display for Counters {
@@ -83,6 +91,10 @@
             ("attempts_unheard", self.unheard),
             ("engines_doubted", self.doubted),
             ("attempts_called_off", self.stopped),
+            ("tokens_late", self.tokens_late),
+            ("tokens_missing", self.tokens_missing),
+            ("tokens_dropped", self.tokens_dropped),
+            ("tenants_unnamed", self.tenants_unnamed),
         ] {
             writeln!(f, "{name} {count}")?;
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod running;
 mod send;
 mod take_in;
+mod tokens;
 mod unheard;
 
 pub use book::Counters;
@@ -130,6 +131,7 @@
     controller: Controller,
     limits: Limits,
     classes: usize,
+    has_tenants: bool,
     requests: BTreeMap<RequestId, Request>,
     /// Names of requests that have no final answer yet; whoever closes one removes its name.
     names: BTreeMap<Rc<str>, RequestId>,
@@ -143,6 +145,7 @@
     counters: Counters,
     doubts: running::Doubts,
     unheard: unheard::Unheard,
+    tokens: tokens::Tokens,
 }
 
 impl Core {
@@ -150,7 +153,9 @@
     pub fn new(settings: Settings, limits: Limits, seed: u64) -> Core {
         Core {
             classes: settings.classes.len(),
+            has_tenants: !settings.tenants.is_empty(),
             unheard: unheard::Unheard::new(&settings, limits.tells_each),
+            tokens: tokens::Tokens::new(&settings),
             controller: Controller::new(settings, seed),
             limits,
             requests: BTreeMap::new(),
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -39,6 +39,13 @@
         self.drop_if_over(id);
     }
 
+    pub(crate) fn fail_saying(&mut self, id: RequestId, words: &str) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.words = Some(words.into());
+        }
+        self.fail(id);
+    }
+
     pub(crate) fn fail(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
         let (begun, words) = (request.relaying.is_some(), request.words.clone());
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -206,7 +206,14 @@
         let attempt = self.out(key)?;
         let (engine, left) = (attempt.engine, attempt.until.saturating_sub(now));
         let ready = self.phases.get(&engine) == Some(&Phase::Ready);
-        if ready && left > 0 && !closed {
+        let request = self.requests.get(&key.request)?;
+        let (class, token, deadline) = (request.ask.class, request.ask.token.clone(), request.deadline);
+        let known = self.tokens.good_until(class, token.as_ref()).is_none_or(|t| now < t);
+        if ready && left > 0 && !closed && known {
+            if let Some(token) = token {
+                self.tokens.written(now, class, &token, key, deadline);
+                self.counters.tokens_dropped = self.tokens.dropped;
+            }
             self.out(key)?.written = now;
             return Some(left);
         }
@@ -339,6 +346,16 @@
         let Some(attempt) = self.out(key) else { return };
         attempt.outcome = Some(outcome);
         let Told { report, work, memory_mb } = std::mem::take(&mut attempt.told);
+        if let (true, Some(request)) = (outcome.never_ran(), self.requests.get(&key.request)) {
+            if let Some(token) = &request.ask.token {
+                self.tokens.never_ran(token, key);
+            }
+        }
+        let Some(attempt) =
+            self.requests.get(&key.request).and_then(|r| r.attempts.get(usize::from(key.number)))
+        else {
+            return;
+        };
         let (doubt, engine, spent) = (attempt.in_doubt(), attempt.engine, now.saturating_sub(attempt.sent));
         if doubt {
             self.remember(now, key, engine);
--- a/crates/core/src/unheard.rs
+++ b/crates/core/src/unheard.rs
@@ -19,8 +19,8 @@
 pub(crate) struct Unheard {
     /// A word is overdue after this long; `None` where none is told.
     after: Option<Micros>,
-    /// Classes whose attempts may run again, by place.
-    safe: Vec<bool>,
+    /// How often each class's effect may happen, by place.
+    effects: Vec<Effect>,
     /// The latest writing of an attempt that was heard of, by engine.
     passed: BTreeMap<EngineId, Micros>,
     next: Micros,
@@ -31,7 +31,7 @@
         let after = settings.notes_every.filter(|_| tells);
         Unheard {
             after: after.map(|every| (every as f64 * LATE) as Micros + WAY),
-            safe: settings.classes.iter().map(|c| c.effect == Effect::Safe).collect(),
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
             passed: BTreeMap::new(),
             next: 0,
         }
@@ -61,7 +61,11 @@
         self.unheard.next = now + EVERY;
         let lost = |(&id, r): (&RequestId, &crate::Request)| {
             let (number, a) = r.out().filter(|_| !r.closed && r.relaying.is_none())?;
-            let safe = self.unheard.safe.get(usize::from(r.ask.class)) == Some(&true);
+            let safe = match self.unheard.effects.get(usize::from(r.ask.class)) {
+                Some(Effect::Safe) => true,
+                Some(Effect::Keyed) => r.ask.token.is_some(),
+                Some(Effect::Unsafe) | None => false,
+            };
             let passed = self.unheard.passed.get(&a.engine).is_some_and(|&p| p > a.written);
             let whole = a.progress == crate::Progress::WrittenWhole;
             let late = a.ending.is_none() && now > a.heard.max(a.written) + after;
--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -439,10 +439,12 @@
             RepeatGroup::Zone => t.zone == e.zone,
             RepeatGroup::Cell => t.cell == e.cell,
         };
+        let known = |until: Micros| now + 2 * self.cfg.tick < until;
         match self.effect(id) {
             Effect::Safe => true,
             Effect::Unsafe => ran.next().is_none(),
-            Effect::Keyed => ran.all(|t| grouped(t) && now + 2 * self.cfg.tick < t.sent + c.repeat_window),
+            Effect::Keyed if !self.jobs[&id].query.known_until.is_none_or(known) => false,
+            Effect::Keyed => ran.all(|t| grouped(t) && known(t.sent + c.repeat_window)),
         }
     }
 
@@ -613,8 +615,7 @@
         let most = self.cfg.max_attempts.unwrap_or(u32::MAX).min(200) as usize;
         let errors = job.tries.iter().filter(|t| t.outcome == Some(Outcome::Error)).count();
         let spent = job.tries.len() >= most || errors >= ERRORS;
-        let barred = spent || !self.engines.values().any(|e| self.may_send(now, id, e));
-        if barred || self.hopeless(now, id) || !self.budget_left(now) {
+        if spent || self.hopeless(now, id) || !self.budget_left(now) {
             self.give_up(now, id, act);
         } else {
             self.route(now, id, act);
@@ -622,10 +623,11 @@
     }
 
     /// Whether a query earns nothing any more, even if started now and run at the fleet's pace, or the only
-    /// engine that holds what it needs takes nothing more.
+    /// engine that holds what it needs takes nothing more, or none may run it again.
     fn hopeless(&self, now: Micros, id: QueryId) -> bool {
         let only = self.jobs[&id].query.pin.filter(|p| p.only).map(|p| self.engines.get(&p.engine));
-        if only.is_some_and(|e| e.is_none_or(|e| e.phase != Phase::Ready)) {
+        let left = only.is_some_and(|e| e.is_none_or(|e| e.phase != Phase::Ready));
+        if left || !self.engines.is_empty() && !self.engines.values().any(|e| self.group_allows(now, id, e)) {
             return true;
         }
         let pace = self.ready().map(|e| e.slow).sum::<f64>() / self.ready().count().max(1) as f64;
@@ -668,11 +670,9 @@
         if usize::from(query.class) >= self.cfg.classes.len() {
             return act.push(Action::Refuse(query.id, 0));
         }
-        if let Some(b) = self.cfg.retry_budget {
+        if self.cfg.retry_budget.is_some() {
             self.tally.taken.push_back(now);
-            while self.tally.taken.front().is_some_and(|&t| t + b.window <= now) {
-                self.tally.taken.pop_front();
-            }
+            self.budget_left(now); // Forgets what is past.
         }
         let (id, over_quota) = (query.id, self.over_quota(now, query.tenant));
         self.jobs.insert(id, Job { over_quota, ..Job::new(query, now) });
--- a/crates/fernlink/src/interface.rs
+++ b/crates/fernlink/src/interface.rs
@@ -257,6 +257,8 @@
     pub key: Option<u64>,
     /// Engines know its repeats by a word of the client's. Without one a keyed class's must not run twice.
     pub token: bool,
+    /// An earlier query under that word may have run: engines know its repeats until then.
+    pub known_until: Option<Micros>,
     /// Its engine, if it has one already.
     pub pin: Option<Pin>,
     /// Time until the client gives up.
--- a/crates/fernlink/tests/common/mod.rs
+++ b/crates/fernlink/tests/common/mod.rs
@@ -95,6 +95,7 @@
             tables,
             key: None,
             token: true,
+            known_until: None,
             pin: None,
             budget: 60 * S,
         }
--- a/crates/fernlink/tests/rules.rs
+++ b/crates/fernlink/tests/rules.rs
@@ -105,6 +105,51 @@
     assert_eq!(errors, 2);
 }
 
+#[test]
+fn a_tenant_without_a_share_is_turned_away_first_and_takes_nothing_of_the_others() {
+    let tenants = vec![Tenant { quota_per_s: 100.0 }];
+    let with = Settings { tenants, over_quota_worth: 0.05, ..settings(vec![class(9 * S, 1.0, 1.0)]) };
+    let mut rig = Rig::new(with, &[listed(1)]);
+    // A queue for memory: every engine is under pressure.
+    rig.report(1, &[5.0]);
+    for _ in 0..20 {
+        let q = Query { tenant: u32::MAX, ..rig.query(0, 10 * MS, 1) };
+        assert!(refused(&rig.event(Event::Arrived(q)), q.id));
+    }
+    let (q, act) = rig.arrive(0, 10 * MS, 1);
+    assert!(!refused(&act, q));
+    // Where no tenant is named nobody's traffic is beyond anything.
+    let mut rig = Rig::new(settings(vec![class(9 * S, 1.0, 1.0)]), &[listed(1)]);
+    rig.report(1, &[5.0]);
+    let q = Query { tenant: u32::MAX, ..rig.query(0, 10 * MS, 1) };
+    assert!(!refused(&rig.event(Event::Arrived(q)), q.id));
+}
+
+#[test]
+fn a_keyed_query_goes_again_only_while_engines_know_its_word() {
+    let keyed = || Class { effect: Effect::Keyed, repeat_window: 5 * S, ..class(9 * S, 1.0, 1.0) };
+    // Its word, an earlier query under it, and whether it goes again after a lost connection.
+    for (token, known_until, again) in
+        [(true, None, true), (false, None, false), (true, Some(100 * S + MS), false)]
+    {
+        let mut rig = Rig::new(settings(vec![keyed()]), &[listed(1), listed(2)]);
+        let q = Query { token, known_until: None, ..rig.query(0, S, 1) };
+        assert_eq!(sends(&rig.event(Event::Arrived(q))).len(), 1);
+        rig.c.handle(rig.now, Event::Noted(q.id, 0, Note::Progress(0.1)), &mut Vec::new());
+        let act = rig.end(q.id, 0, Outcome::Reset, MS);
+        if known_until.is_none() {
+            assert_eq!(sends(&act).len(), usize::from(again), "{token}");
+            assert_eq!(act.contains(&Action::Fail(q.id)), !again);
+        }
+        // One whose word is no longer known is not sent at all, and answered at once.
+        let late = Query { token, known_until, ..rig.query(0, S, 2) };
+        if known_until.is_some() {
+            assert!(sends(&rig.event(Event::Arrived(late))).is_empty());
+            assert!(refused(&rig.tick(50 * MS), late.id));
+        }
+    }
+}
+
 #[test]
 fn the_odd_answer_of_an_engine_that_errs_mostly_does_not_make_it_well_but_a_run_of_them_does() {
     let list: Vec<Listed> = (1..=4).map(listed).collect();
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -91,6 +91,9 @@
 
 /// A key's rest is lengthened by this: an attempt's end reaches the engine after we book it.
 const SETTLE_MARGIN: Micros = 40_000;
+/// Engines drop repeats for this much less than the settings say: their clock starts before the first attempt is known
+/// there, and a repeat has its way to go.
+const REPEAT_MARGIN: Micros = 200_000;
 /// Probes that take longer have failed.
 const PROBE_TIMEOUT: Micros = 300_000;
 /// The guard of the last moment answers this long before the client gives up.
@@ -141,6 +144,9 @@
         let json = root.get("settings");
         let mut settings = driftfront_settings::from_json(json).map_err(|e| format!("settings: {e}"))?;
         settings.settle += SETTLE_MARGIN;
+        for class in &mut settings.classes {
+            class.repeat_window = class.repeat_window.saturating_sub(REPEAT_MARGIN);
+        }
         let wire = match root.get("front").text() {
             None | Some("platform") => Wire::Platform,
             Some("clickhouse") => Wire::ClickHouse,
--- a/crates/node/tests/daily.rs
+++ b/crates/node/tests/daily.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
-use common::lines::Site;
-use common::{get, read_next, FOR_EVER};
+use common::lines::{config, List, Site};
+use common::{get, read_next, Coordinator, FOR_EVER};
 use driftfront_http::ResponseReader;
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 
 /// A second address beside whatever else a site has.
 fn managed(config: String) -> String {
@@ -162,3 +164,38 @@
     assert!(site.coordinator.manage("RESTORE e1\n").starts_with("OK"));
     assert_eq!(site.coordinator.counter("engines_out_by_order"), 0);
 }
+
+#[test]
+fn nothing_goes_out_on_a_connection_that_comes_up_after_its_engine_was_taken_out() {
+    // A backlog that is full: the next connect hangs until there is room again.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: TcpListener = socket.into();
+    let engine = listener.local_addr().unwrap();
+    let _fill = TcpStream::connect(engine).unwrap();
+    let list = List::start();
+    let patient = config(list.addr).replace("\"ConnectTimeoutUs\": 250000", "\"ConnectTimeoutUs\": 14000000");
+    let coordinator = Coordinator::start(&managed(patient));
+    let mut site = Site { coordinator, ledger: Arc::default(), engines: vec![engine], list };
+    site.tell(&["ready"], "");
+    site.coordinator.wait_until_ready();
+    let answer = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| site.ask("report", 2_000, "SELECT 1"));
+        site.coordinator.wait_for("attempts_sent", 1);
+        assert!(site.coordinator.manage("SUSPEND e0\n").starts_with("OK"));
+        drop(listener.accept().unwrap());
+        // Held, so that it comes up and stays.
+        let came_up = listener.accept().unwrap().0;
+        (asked.join().unwrap(), came_up)
+    });
+    let (answer, mut came_up) = answer;
+    // No engine is left: it is answered at its deadline, and with a refusal, as it never ran.
+    assert_eq!(answer.status, 429, "{}", answer.text());
+    assert_eq!(site.coordinator.counter("attempts_ended{outcome=\"moot\"}"), 1);
+    site.coordinator.terminate();
+    assert!(site.coordinator.wait().success());
+    let mut bytes = Vec::new();
+    came_up.read_to_end(&mut bytes).unwrap();
+    assert_eq!(String::from_utf8_lossy(&bytes), "");
+}
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -207,6 +207,7 @@
                     tables,
                     key,
                     token: true,
+                    known_until: None,
                     pin: None,
                     budget,
                 })
