--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -1,6 +1,6 @@
 //! Plain words for how things stand.
 
-use driftfront_control::snapshot::{Class, Engine, Query, Service, Snapshot};
+use driftfront_control::snapshot::{Class, Engine, Member, Query, Service, Snapshot};
 
 /// An engine with work out that has said nothing for this long is worth a word, in milliseconds.
 pub const SILENT_MS: u64 = 3_000;
@@ -121,6 +121,7 @@
     if let Some(age) = s.source_age_s.filter(|&age| age > OLD_SOURCE_S) {
         alarms.push(format!("The list of engines is {} old: {} says nothing.", span(age), s.source));
     }
+    alarms.extend(fleet_alarms(s));
     alarms
 }
 
@@ -151,6 +152,51 @@
     pub rows: Vec<Vec<String>>,
 }
 
+/// The fleet's coordinators.
+pub fn members(s: &Snapshot) -> Table {
+    let heads = vec!["COORDINATOR", "IS", "FOR", "DOES", "BUILD", "ZONE", "REGION", "TOLD", "AT"];
+    let row = |m: &Member| {
+        let name = if m.me { format!("{} (this)", m.name) } else { m.name.clone() };
+        let told = match m.told_age_s {
+            _ if m.me => String::new(),
+            Some(age) => format!("{} ago", span(age)),
+            None => "never".into(),
+        };
+        vec![
+            name,
+            m.standing.clone(),
+            span(m.for_s),
+            m.state.clone(),
+            m.build.clone(),
+            m.zone.clone(),
+            m.region.clone(),
+            told,
+            m.addr.clone(),
+        ]
+    };
+    Table { heads, rows: s.members.iter().map(row).collect() }
+}
+
+/// What the fleet looks like from here, where something is amiss.
+fn fleet_alarms(s: &Snapshot) -> Vec<String> {
+    let others: Vec<&Member> = s.members.iter().filter(|m| !m.me).collect();
+    let gone: Vec<&str> = others.iter().filter(|m| m.standing == "gone").map(|m| m.name.as_str()).collect();
+    if others.is_empty() || gone.is_empty() {
+        return Vec::new();
+    }
+    if gone.len() == others.len() {
+        return vec![format!(
+            "No other coordinator is heard: this one is cut off, or {} ended. It serves by itself.",
+            if gone.len() == 1 { "the other has" } else { "all others have" }
+        )];
+    }
+    let named = gone.iter().take(5).copied().collect::<Vec<_>>().join(", ");
+    vec![format!(
+        "{} gone: {named}.",
+        capital(counted(gone.len() as u64, "coordinator is", "coordinators are"))
+    )]
+}
+
 /// The engines.
 pub fn engines(s: &Snapshot) -> Table {
     let heads =
--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -75,6 +75,13 @@
         remote: true,
     },
     Command { name: "engines", arguments: "", about: "lists the engines", options: &[JSON], remote: true },
+    Command {
+        name: "members",
+        arguments: "",
+        about: "lists the fleet's coordinators, as this one knows them",
+        options: &[JSON],
+        remote: true,
+    },
     Command {
         name: "classes",
         arguments: "",
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -43,6 +43,36 @@
         sessions: Vec<u64>,
         /// The roll, if there is one.
         roll: Option<Roll>,
+        /// The fleet's coordinators, by name, this one among them; empty where there is no fleet.
+        members: Vec<Member>,
+    }
+}
+
+object! {
+    /// A coordinator of the fleet.
+    Member {
+        /// Its name.
+        name: String,
+        /// Where its datagrams go.
+        addr: String,
+        /// `there`, `doubted` or `gone`.
+        standing: String,
+        /// Seconds for which it has stood so.
+        for_s: u64,
+        /// Its zone; empty for none.
+        zone: String,
+        /// Its region; empty for none.
+        region: String,
+        /// Its build.
+        build: String,
+        /// What it is doing, by its own word; empty where it has told none.
+        state: String,
+        /// Since when, by its own clock, as Unix milliseconds.
+        since_ms: u64,
+        /// Seconds since it told that; nothing if it never did.
+        told_age_s: Option<u64>,
+        /// It is this one.
+        me: bool,
     }
 }
 
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,36 @@
+//! Coordinators that know of each other, without their sockets.
+//!
+//! Three layers, each plain data to the one above:
+//!
+//! 1. [`members`]: who is there, by SWIM (`foca`). Wrong at times, for a stated time.
+//! 2. [`facts`]: each member's own records, newest wins, with their age. A wrong one costs service, never a rule.
+//! 3. Agreed decisions: not here yet; nothing in this crate may be used for a budget that must never be passed.
+//!
+//! [`Fleet`] holds both and speaks the language of [`seal`]: datagrams go in with the time, datagrams come out. It has no
+//! clock, socket or random source of its own, so that the same unit runs in the program and by hundreds on virtual time.
+//!
+//! **Alone.** A fleet of one, or one that is cut off, has itself as its only member and its own facts; nothing waits for
+//! an answer of anybody. **At most**, a peer that holds the key and lies can make living members look dead to others for
+//! the time that a refutation needs, and tell facts of its own name; it can't tell facts of another's name that outlive
+//! that one's next word.
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod about;
+pub mod facts;
+pub mod members;
+pub mod pace;
+pub mod seal;
+mod unit;
+
+pub use about::{About, State};
+pub use facts::{Fact, Kind};
+pub use members::{Identity, Standing};
+pub use seal::{Key, Keyring};
+pub use unit::{Counters, Fleet, MemberView, Options};
+
+/// Time or duration in microseconds.
+pub type Micros = u64;
+
+/// Largest datagram, so that none is cut into fragments on any usual network.
+pub const DATAGRAM_MOST: usize = 1200;
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,354 @@
+//! Who is there: SWIM with suspicion and incarnations, by `foca`, which is free of I/O as this is.
+//!
+//! Figures, with the periods below: a member that dies is doubted by the first that probes it within a period and a half on
+//! average, and called down 1.2 s later, unless it says that it is there. What is called down is told of, and asked each
+//! two seconds whether it is back, so that halves that were cut apart find each other again.
+
+use crate::seal::PAYLOAD_MOST;
+use crate::Micros;
+use bytes::{Buf, BufMut};
+use foca::{
+    AccumulatingRuntime, Config, Foca, Header, Member, OwnedNotification, PeriodicParams, PostcardCodec,
+    Timer,
+};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+/// Longest name of a member, in bytes.
+pub const NAME_MOST: usize = 48;
+/// One member is probed in this time, by each.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+/// An answer that has not come by then is asked for by way of others.
+const PROBE_ANSWER: Duration = Duration::from_millis(150);
+/// Others that are asked: where 30% of all datagrams are lost a way there and back fails by half.
+const BY_WAY_OF: usize = 8;
+/// Who is doubted and says nothing for this long is down: some eight ways that its word can take are lost by then.
+const DOWN_AFTER: Duration = Duration::from_millis(2_000);
+/// Who is down is remembered for this long, so that old words of it bring nobody back.
+const FORGET_DOWN: Duration = Duration::from_secs(60);
+/// Each word is passed on so often by each: three times the logarithm of 300.
+const PASS_ON: u8 = 18;
+const GOSSIP: PeriodicParams =
+    PeriodicParams { frequency: Duration::from_millis(200), num_members: NonZeroUsize::new(3).unwrap() };
+const ANNOUNCE: PeriodicParams =
+    PeriodicParams { frequency: Duration::from_secs(10), num_members: NonZeroUsize::MIN };
+const ASK_DOWN: PeriodicParams =
+    PeriodicParams { frequency: Duration::from_secs(2), num_members: NonZeroUsize::new(2).unwrap() };
+
+/// A process of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where its datagrams go.
+    pub addr: SocketAddr,
+    /// Differs with each start of the process, and grows.
+    pub session: u64,
+    /// How often it was called down in this session and came back.
+    pub back: u16,
+}
+
+impl Identity {
+    /// A session for a process that starts now: grows with the clock, by milliseconds, and differs from those of others
+    /// that start in the same one.
+    pub fn session_at(clock: Micros, drawn: u32) -> u64 {
+        (clock / 1000) << 20 | u64::from(drawn & 0xf_ffff)
+    }
+
+    /// Somebody unknown at an address.
+    pub fn at(addr: SocketAddr) -> Identity {
+        Identity { name: String::new(), addr, session: 0, back: 0 }
+    }
+}
+
+impl foca::Identity for Identity {
+    type Addr = SocketAddr;
+    fn renew(&self) -> Option<Identity> {
+        Some(Identity { back: self.back.wrapping_add(1), ..self.clone() })
+    }
+    fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+    fn win_addr_conflict(&self, other: &Identity) -> bool {
+        (self.session, self.back) > (other.session, other.back)
+    }
+}
+
+/// `foca`'s own form, with a bound on names.
+struct Codec(PostcardCodec);
+
+/// Why a datagram of members is not read.
+#[derive(Debug)]
+pub struct Unreadable(String);
+
+impl std::error::Error for Unreadable {}
+
+impl std::fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn unreadable(e: impl std::fmt::Display) -> Unreadable {
+    Unreadable(e.to_string())
+}
+
+fn bounded(id: &Identity) -> Result<(), Unreadable> {
+    (id.name.len() <= NAME_MOST).then_some(()).ok_or_else(|| Unreadable("a name too long".into()))
+}
+
+impl foca::Codec<Identity> for Codec {
+    type Error = Unreadable;
+    fn encode_header(&mut self, header: &Header<Identity>, buf: impl BufMut) -> Result<(), Unreadable> {
+        self.0.encode_header(header, buf).map_err(unreadable)
+    }
+    fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Identity>, Unreadable> {
+        let header: Header<Identity> = self.0.decode_header(buf).map_err(unreadable)?;
+        bounded(&header.src).and_then(|()| bounded(&header.dst))?;
+        Ok(header)
+    }
+    fn encode_member(&mut self, member: &Member<Identity>, buf: impl BufMut) -> Result<(), Unreadable> {
+        self.0.encode_member(member, buf).map_err(unreadable)
+    }
+    fn decode_member(&mut self, buf: impl Buf) -> Result<Member<Identity>, Unreadable> {
+        let member: Member<Identity> = self.0.decode_member(buf).map_err(unreadable)?;
+        bounded(member.id())?;
+        Ok(member)
+    }
+}
+
+/// How sure a member is to be there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It is there.
+    Alive,
+    /// Somebody had no answer of it, and it has not said yet that it is there.
+    Doubted,
+    /// It has been called down, or left.
+    Down,
+}
+
+/// What has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Somebody is there.
+    Up(Identity),
+    /// Somebody is down.
+    Down(Identity),
+    /// We were called down and are back under this.
+    Back(Identity),
+}
+
+type Swim = Foca<Identity, Codec, SmallRng, foca::NoCustomBroadcast>;
+
+/// The members as one of them knows them.
+pub struct Members {
+    foca: Swim,
+    timers: BTreeMap<(Micros, u64), Timer<Identity>>,
+    order: u64,
+    /// When each came up, by session.
+    since: BTreeMap<u64, Micros>,
+    /// Who went down, by name, and when.
+    gone: BTreeMap<String, (Identity, Micros)>,
+    rng: SmallRng,
+    /// How often we dropped what we held against others.
+    pub starts_over: u64,
+    /// Datagrams that could not be used.
+    pub unreadable: u64,
+}
+
+/// Members whose change is remembered.
+const SINCE_MOST: usize = 4096;
+
+fn config() -> Config {
+    Config {
+        probe_period: PROBE_EVERY,
+        probe_rtt: PROBE_ANSWER,
+        num_indirect_probes: NonZeroUsize::new(BY_WAY_OF).unwrap_or(NonZeroUsize::MIN),
+        max_transmissions: NonZeroU8::new(PASS_ON).unwrap_or(NonZeroU8::MIN),
+        suspect_to_down_after: DOWN_AFTER,
+        remove_down_after: FORGET_DOWN,
+        max_packet_size: NonZeroUsize::new(PAYLOAD_MOST).unwrap_or(NonZeroUsize::MIN),
+        notify_down_members: true,
+        periodic_announce: Some(ANNOUNCE),
+        periodic_announce_to_down_members: Some(ASK_DOWN),
+        periodic_gossip: Some(GOSSIP),
+    }
+}
+
+impl Members {
+    /// Ourselves alone.
+    pub fn new(me: Identity, seed: u64) -> Members {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Members {
+            foca: Foca::new(me, config(), SmallRng::from_rng(&mut rng), Codec(PostcardCodec)),
+            rng,
+            timers: BTreeMap::new(),
+            order: 0,
+            since: BTreeMap::new(),
+            gone: BTreeMap::new(),
+            unreadable: 0,
+            starts_over: 0,
+        }
+    }
+
+    /// We were called down, or all others are: more likely it is us who could not be heard. What we hold against others
+    /// is dropped, so that once we are heard again we accuse nobody; those that are there stay, doubted by none.
+    fn start_over(&mut self, now: Micros, sends: &mut Vec<(Identity, Vec<u8>)>) {
+        // Those that are doubted are asked anew.
+        let keep: Vec<Member<Identity>> = self
+            .foca
+            .iter_members()
+            .map(|m| Member::new(m.id().clone(), m.incarnation(), foca::State::Alive))
+            .collect();
+        let me = foca::Identity::renew(self.me()).unwrap_or_else(|| self.me().clone());
+        self.starts_over += 1;
+        self.timers.clear();
+        self.foca = Foca::new(me, config(), SmallRng::from_rng(&mut self.rng), Codec(PostcardCodec));
+        // That they are there is no news.
+        self.run(now, sends, &mut Vec::new(), |foca, runtime| {
+            foca.apply_many(keep.into_iter(), false, runtime)
+        });
+    }
+
+    /// Who we are.
+    pub fn me(&self) -> &Identity {
+        self.foca.identity()
+    }
+
+    /// Does one thing and collects what follows of it.
+    fn run(
+        &mut self,
+        now: Micros,
+        sends: &mut Vec<(Identity, Vec<u8>)>,
+        changes: &mut Vec<Change>,
+        work: impl FnOnce(&mut Swim, &mut AccumulatingRuntime<Identity>) -> Result<(), foca::Error>,
+    ) {
+        let mut runtime = AccumulatingRuntime::new();
+        if work(&mut self.foca, &mut runtime).is_err() {
+            self.unreadable += 1;
+        }
+        while let Some((to, bytes)) = runtime.to_send() {
+            sends.push((to, bytes.to_vec()));
+        }
+        while let Some((after, timer)) = runtime.to_schedule() {
+            self.order += 1;
+            self.timers.insert((now + after.as_micros() as Micros, self.order), timer);
+        }
+        while let Some(told) = runtime.to_notify() {
+            changes.extend(match told {
+                OwnedNotification::MemberUp(who) => Some(Change::Up(who)),
+                OwnedNotification::MemberDown(who) => Some(Change::Down(who)),
+                OwnedNotification::Rejoin(me) => Some(Change::Back(me)),
+                // A new identity of one that is there, and our own ups and downs, change nobody's standing.
+                _ => None,
+            });
+        }
+    }
+
+    fn work(
+        &mut self,
+        now: Micros,
+        sends: &mut Vec<(Identity, Vec<u8>)>,
+        changes: &mut Vec<Change>,
+        work: impl FnOnce(&mut Swim, &mut AccumulatingRuntime<Identity>) -> Result<(), foca::Error>,
+    ) {
+        let first = changes.len();
+        self.run(now, sends, changes, work);
+        let mut doubt = false;
+        for change in &changes[first..] {
+            match change {
+                Change::Up(who) => {
+                    self.since.insert(who.session, now);
+                    self.gone.remove(&who.name);
+                }
+                Change::Down(who) => {
+                    doubt |= self.foca.num_members() == 0;
+                    self.gone.insert(who.name.clone(), (who.clone(), now));
+                }
+                Change::Back(_) => doubt = true,
+            }
+        }
+        if doubt {
+            self.start_over(now, sends);
+        }
+        while self.since.len() > SINCE_MOST {
+            self.since.pop_first();
+        }
+        self.gone.retain(|_, g| now < g.1 + FORGET_DOWN.as_micros() as Micros);
+        while self.gone.len() > SINCE_MOST {
+            self.gone.pop_first();
+        }
+    }
+
+    /// Asks to be let in by whoever is at this address.
+    pub fn join(
+        &mut self,
+        now: Micros,
+        at: SocketAddr,
+        out: &mut Vec<(Identity, Vec<u8>)>,
+        ch: &mut Vec<Change>,
+    ) {
+        self.work(now, out, ch, |foca, runtime| foca.announce(Identity::at(at), runtime));
+    }
+
+    /// Leaves in order: the others need not find out.
+    pub fn leave(&mut self, now: Micros, out: &mut Vec<(Identity, Vec<u8>)>, ch: &mut Vec<Change>) {
+        self.work(now, out, ch, |foca, runtime| foca.leave_cluster(runtime));
+    }
+
+    /// A datagram has come.
+    pub fn take(
+        &mut self,
+        now: Micros,
+        bytes: &[u8],
+        out: &mut Vec<(Identity, Vec<u8>)>,
+        ch: &mut Vec<Change>,
+    ) {
+        self.work(now, out, ch, |foca, runtime| foca.handle_data(bytes, runtime));
+    }
+
+    /// Lets all timers come due that should have by now.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<(Identity, Vec<u8>)>, ch: &mut Vec<Change>) {
+        while let Some(entry) = self.timers.first_entry().filter(|t| t.key().0 <= now) {
+            let timer = entry.remove();
+            self.work(now, out, ch, |foca, runtime| foca.handle_timer(timer, runtime));
+        }
+    }
+
+    /// When [`Members::tick`] is due next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.first_key_value().map(|t| t.0 .0)
+    }
+
+    /// All that are known but us, with their standing and for how long it has been so.
+    pub fn known(&self, now: Micros) -> impl Iterator<Item = (&Identity, Standing, Micros)> + '_ {
+        let there = self.foca.iter_members().map(move |m| {
+            let standing =
+                if m.state() == foca::State::Suspect { Standing::Doubted } else { Standing::Alive };
+            let since = self.since.get(&m.id().session).copied().unwrap_or(0);
+            (m.id(), standing, now.saturating_sub(since))
+        });
+        there.chain(self.gone.values().map(move |(id, at)| (id, Standing::Down, now.saturating_sub(*at))))
+    }
+
+    /// Where those that went down were.
+    pub fn lost(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.gone.values().map(|g| g.0.addr)
+    }
+
+    /// Those that are there, doubted or not, but us.
+    pub fn there(&self) -> impl Iterator<Item = &Identity> + '_ {
+        self.foca.iter_members().map(Member::id)
+    }
+
+    /// How many are there but us.
+    pub fn others(&self) -> usize {
+        self.foca.num_members()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/unit.rs
@@ -0,0 +1,451 @@
+//! The fleet as one member knows it: datagrams and time in, datagrams out.
+
+use crate::about::About;
+use crate::facts::{Fact, Facts, Kind, Refusals, ABOUT};
+use crate::members::{Change, Identity, Members, Standing};
+use crate::pace::Pace;
+use crate::seal::{Keyring, Payload, Refused, Seal, PAYLOAD_MOST};
+use crate::Micros;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+/// News is passed on in rounds of this length, to so many.
+const ROUND: Micros = 100_000;
+const FAN: usize = 3;
+/// Rounds for a fleet of one, and more with each doubling: what all have had by then but for a few, comparisons bring.
+const ROUNDS: u32 = 3;
+/// Versions are compared with one other this often; what it lacks is told in so many datagrams.
+const COMPARE: Micros = 400_000;
+const COMPARE_DATAGRAMS: usize = 2;
+/// Nobody else is there: a seed is asked this often. Else one of the seeds that is not, in case we are cut apart.
+const JOIN: Micros = 500_000;
+const REJOIN: Micros = 5_000_000;
+/// Who is there is looked at for ageing facts this often.
+const LOOK: Micros = 500_000;
+/// What a member sends in a second at most, whatever the size of the fleet, and saved up at most; a bucket for membership
+/// and one for facts, so that neither silences the other.
+const MEMBERS_A_SECOND: f64 = 120.0;
+const FACTS_A_SECOND: f64 = 60.0;
+const BYTES_A_DATAGRAM: f64 = 600.0;
+/// Datagrams that wait to be written.
+const OUT_MOST: usize = 512;
+
+/// What a fleet is started with.
+pub struct Options {
+    /// Who we are.
+    pub me: Identity,
+    /// What we tell of ourselves.
+    pub about: About,
+    /// The keys.
+    pub keys: Keyring,
+    /// Whom to ask to be let in.
+    pub seeds: Vec<SocketAddr>,
+    /// For all that is drawn at random.
+    pub seed: u64,
+}
+
+/// What has passed through since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Datagrams sent, and their bytes.
+    pub sent: u64,
+    /// See `sent`.
+    pub sent_bytes: u64,
+    /// Datagrams taken, and their bytes.
+    pub taken: u64,
+    /// See `taken`.
+    pub taken_bytes: u64,
+    /// Datagrams refused: of another language.
+    pub foreign: u64,
+    /// Of another version of it.
+    pub version: u64,
+    /// Under a key that is not in use.
+    pub unknown_key: u64,
+    /// Spoilt, or sealed without the key.
+    pub spoilt: u64,
+    /// Taken before.
+    pub replayed: u64,
+    /// For an earlier process here, or our own.
+    pub stale: u64,
+    /// Sealed with the key on its way out.
+    pub old_key: u64,
+    /// Of a kind that this build does not know.
+    pub unknown_kind: u64,
+    /// Not sent, as the budget was spent, or too many waited.
+    pub withheld: u64,
+    /// Members that came up, and that went down.
+    pub ups: u64,
+    /// See `ups`.
+    pub downs: u64,
+    /// How often we were called down and came back.
+    pub backs: u64,
+    /// How often we dropped what we held against others, as it was more likely us.
+    pub starts_over: u64,
+    /// How often this process was held up.
+    pub stumbles: u64,
+    /// Datagrams of members that could not be used.
+    pub unreadable: u64,
+    /// Records beyond bounds, unreadable, and under our name by another.
+    pub refused: u64,
+    /// Sessions forgotten early.
+    pub sessions_forgotten: u64,
+}
+
+/// A member as it is shown.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// Its name.
+    pub name: String,
+    /// Where its datagrams go.
+    pub addr: SocketAddr,
+    /// How sure it is to be there.
+    pub standing: Standing,
+    /// For how long it has stood so, by our own time.
+    pub for_long: Micros,
+    /// What it told of itself, and how old that is.
+    pub about: Option<(About, Micros)>,
+    /// It is us.
+    pub is_me: bool,
+}
+
+/// A token bucket.
+struct Budget {
+    rate: f64,
+    left: f64,
+    bytes: f64,
+    at: Micros,
+}
+
+impl Budget {
+    fn new(rate: f64) -> Budget {
+        Budget { rate, left: rate, bytes: rate * BYTES_A_DATAGRAM, at: 0 }
+    }
+
+    fn take(&mut self, now: Micros, bytes: usize) -> bool {
+        let passed = now.saturating_sub(self.at) as f64 / 1e6;
+        self.at = now.max(self.at);
+        self.left = (self.left + passed * self.rate).min(self.rate);
+        let most = self.rate * BYTES_A_DATAGRAM;
+        self.bytes = (self.bytes + passed * most).min(most);
+        let there = self.left >= 1.0 && self.bytes >= bytes as f64;
+        if there {
+            (self.left, self.bytes) = (self.left - 1.0, self.bytes - bytes as f64);
+        }
+        there
+    }
+}
+
+/// One member's fleet.
+pub struct Fleet {
+    members: Members,
+    facts: Facts,
+    seal: Seal,
+    pace: Pace,
+    seeds: Vec<SocketAddr>,
+    rng: SmallRng,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+    member_budget: Budget,
+    fact_budget: Budget,
+    next_round: Micros,
+    next_compare: Micros,
+    next_join: Micros,
+    next_look: Micros,
+    counters: Counters,
+    left: bool,
+}
+
+impl Fleet {
+    /// Alone, at this time of the host's clock.
+    pub fn new(clock: Micros, options: Options) -> Fleet {
+        let mut rng = SmallRng::seed_from_u64(options.seed);
+        let me = options.me;
+        let mut pace = Pace::default();
+        let now = pace.look(clock);
+        let mut facts = Facts::new(&me.name, me.session);
+        facts.tell(now, ABOUT, &options.about.write(), ROUNDS);
+        Fleet {
+            facts,
+            seal: Seal::new(options.keys, me.session),
+            members: Members::new(me, rng.random()),
+            pace,
+            seeds: options.seeds,
+            out: VecDeque::new(),
+            member_budget: Budget::new(MEMBERS_A_SECOND),
+            fact_budget: Budget::new(FACTS_A_SECOND),
+            // All that start at the same moment must not ask at the same moment for ever.
+            next_join: now + rng.random_range(0..JOIN / 4),
+            next_round: now + rng.random_range(0..ROUND),
+            next_compare: now + rng.random_range(0..COMPARE),
+            next_look: now,
+            rng,
+            counters: Counters::default(),
+            left: false,
+        }
+    }
+
+    /// A datagram has come. All that have come are to be taken before [`Fleet::tick`]: what others said while this process
+    /// was held up must be known before any of its timers runs.
+    pub fn take(&mut self, clock: Micros, datagram: &[u8]) {
+        let now = self.pace.look(clock);
+        let opened = match self.seal.open(datagram) {
+            Ok(opened) => opened,
+            Err(why) => {
+                let count = match why {
+                    Refused::Foreign => &mut self.counters.foreign,
+                    Refused::Version => &mut self.counters.version,
+                    Refused::UnknownKey => &mut self.counters.unknown_key,
+                    Refused::Spoilt => &mut self.counters.spoilt,
+                    Refused::Replayed => &mut self.counters.replayed,
+                    Refused::Stale => &mut self.counters.stale,
+                };
+                *count += 1;
+                return;
+            }
+        };
+        self.counters.taken += 1;
+        self.counters.taken_bytes += datagram.len() as u64;
+        self.counters.old_key += u64::from(opened.old_key);
+        if self.left {
+            return;
+        }
+        let (bytes, from) = (opened.bytes, opened.session);
+        match opened.payload {
+            Payload::Members => {
+                self.with_members(now, |members, out, changes| members.take(now, bytes, out, changes));
+            }
+            Payload::Facts => {
+                let rounds = self.rounds();
+                self.facts.take(now, bytes, rounds);
+            }
+            Payload::Digest => {
+                let (tell, ask) = self.facts.compare(now, bytes, PAYLOAD_MOST, COMPARE_DATAGRAMS);
+                let Some(to) = self.members.there().find(|m| m.session == from).cloned() else { return };
+                for datagram in tell {
+                    self.send(now, &to, Payload::Facts, &datagram);
+                }
+                if let Some(ask) = ask {
+                    self.send(now, &to, Payload::Digest, &ask);
+                }
+            }
+            Payload::Unknown(_) => self.counters.unknown_kind += 1,
+        }
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, clock: Micros) {
+        let now = self.pace.look(clock);
+        if self.left {
+            return;
+        }
+        self.with_members(now, |members, out, changes| members.tick(now, out, changes));
+        if now >= self.next_join {
+            self.join(now);
+        }
+        if now >= self.next_round {
+            self.next_round = now + ROUND;
+            self.round(now);
+        }
+        if now >= self.next_compare {
+            self.next_compare = now + COMPARE;
+            self.compare(now);
+        }
+        if now >= self.next_look {
+            self.next_look = now + LOOK;
+            self.look(now);
+        }
+    }
+
+    /// When [`Fleet::tick`] is due next, by the host's clock.
+    pub fn next_due(&self) -> Micros {
+        let own = [self.next_join, self.next_round, self.next_compare, self.next_look];
+        let first = own.into_iter().chain(self.members.next_due()).min().unwrap_or(0);
+        self.pace.clock_at(first).unwrap_or(0)
+    }
+
+    /// The next datagram to send, and where.
+    pub fn to_send(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.out.pop_front()
+    }
+
+    /// Tells a record of our own; false if it is beyond the bounds.
+    pub fn tell(&mut self, kind: Kind, value: &[u8]) -> bool {
+        let rounds = self.rounds();
+        self.facts.tell(self.pace.now(), kind, value, rounds)
+    }
+
+    /// Tells of ourselves anew.
+    pub fn tell_about(&mut self, about: &About) -> bool {
+        self.tell(ABOUT, &about.write())
+    }
+
+    /// Leaves in order: others know at once that we are gone, and that it is no fault. Nothing is sent or taken after it
+    /// but what [`Fleet::to_send`] still holds.
+    pub fn leave(&mut self, clock: Micros) {
+        let now = self.pace.look(clock);
+        if !self.left {
+            self.with_members(now, |members, out, changes| members.leave(now, out, changes));
+            self.left = true;
+        }
+    }
+
+    /// Other keys from now on.
+    pub fn change_keys(&mut self, keys: Keyring) {
+        self.seal.change_keys(keys);
+    }
+
+    /// Other seeds from now on.
+    pub fn change_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Who we are.
+    pub fn me(&self) -> &Identity {
+        self.members.me()
+    }
+
+    /// Others that are there.
+    pub fn others(&self) -> usize {
+        self.members.others()
+    }
+
+    /// Whether somebody of this name is there; we are.
+    pub fn is_there(&self, name: &str) -> bool {
+        self.me().name == name || self.members.there().any(|m| m.name == name)
+    }
+
+    /// How far this process doubts itself, from 0.
+    pub fn doubt(&self) -> u32 {
+        self.pace.doubt()
+    }
+
+    /// All that are known, by name; of one name the latest process.
+    pub fn members(&self) -> Vec<MemberView> {
+        let now = self.pace.now();
+        let view = |id: &Identity, standing, for_long, is_me| MemberView {
+            name: id.name.clone(),
+            addr: id.addr,
+            standing,
+            for_long,
+            about: self.facts.get(now, &id.name, ABOUT).and_then(|f| Some((About::read(f.value)?, f.age))),
+            is_me,
+        };
+        let me = std::iter::once((self.me(), Standing::Alive, now, true));
+        let known = self.members.known(now).map(|(id, standing, long)| (id, standing, long, false));
+        let mut all: Vec<_> = me.chain(known).collect();
+        all.sort_by(|a, b| (&a.0.name, a.1, b.0.session).cmp(&(&b.0.name, b.1, a.0.session)));
+        all.dedup_by(|b, a| a.0.name == b.0.name);
+        all.into_iter().map(|(id, standing, long, is_me)| view(id, standing, long, is_me)).collect()
+    }
+
+    /// What an owner told under a kind.
+    pub fn fact(&self, owner: &str, kind: Kind) -> Option<Fact<'_>> {
+        self.facts.get(self.pace.now(), owner, kind)
+    }
+
+    /// What each told under a kind.
+    pub fn facts(&self, kind: Kind) -> impl Iterator<Item = (&str, Fact<'_>)> + '_ {
+        self.facts.all(self.pace.now(), kind)
+    }
+
+    /// The counts so far.
+    pub fn counters(&self) -> Counters {
+        let Refusals { bounds, malformed, forged } = self.facts.refused;
+        Counters {
+            stumbles: self.pace.stumbles,
+            unreadable: self.members.unreadable,
+            starts_over: self.members.starts_over,
+            refused: bounds + malformed + forged,
+            sessions_forgotten: self.seal.forgotten,
+            ..self.counters
+        }
+    }
+
+    /// Rounds for which news is passed on.
+    fn rounds(&self) -> u32 {
+        ROUNDS + (self.members.others() as u32 + 1).ilog2()
+    }
+
+    fn with_members(
+        &mut self,
+        now: Micros,
+        work: impl FnOnce(&mut Members, &mut Vec<(Identity, Vec<u8>)>, &mut Vec<Change>),
+    ) {
+        let (mut out, mut changes) = (Vec::new(), Vec::new());
+        work(&mut self.members, &mut out, &mut changes);
+        for change in changes {
+            match change {
+                Change::Up(_) => self.counters.ups += 1,
+                Change::Down(_) => self.counters.downs += 1,
+                Change::Back(_) => {
+                    self.counters.backs += 1;
+                    self.pace.accused();
+                }
+            }
+            // Facts of who came or went are to be marked at once.
+            self.next_look = now;
+        }
+        for (to, bytes) in out {
+            self.send(now, &to, Payload::Members, &bytes);
+        }
+    }
+
+    fn send(&mut self, now: Micros, to: &Identity, payload: Payload, bytes: &[u8]) {
+        let budget = match payload {
+            Payload::Members => &mut self.member_budget,
+            _ => &mut self.fact_budget,
+        };
+        if self.out.len() >= OUT_MOST || !budget.take(now, bytes.len()) {
+            self.counters.withheld += 1;
+            return;
+        }
+        if let Some(sealed) = self.seal.seal(payload, bytes, to.session) {
+            self.counters.sent += 1;
+            self.counters.sent_bytes += sealed.len() as u64;
+            self.out.push_back((to.addr, sealed));
+        }
+    }
+
+    /// Asks a seed to be let in, or one that is not there whether it is back.
+    fn join(&mut self, now: Micros) {
+        let alone = self.members.others() == 0;
+        self.next_join = now + if alone { JOIN } else { REJOIN };
+        let own = self.me().addr;
+        let missing: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .copied()
+            .chain(self.members.lost())
+            .filter(|s| *s != own && !self.members.there().any(|m| m.addr == *s))
+            .collect();
+        if let Some(&seed) = missing.choose(&mut self.rng) {
+            self.with_members(now, |members, out, changes| members.join(now, seed, out, changes));
+        }
+    }
+
+    fn round(&mut self, now: Micros) {
+        let others: Vec<Identity> = self.members.there().cloned().collect();
+        if others.is_empty() {
+            return;
+        }
+        let Some(news) = self.facts.rumours(now, PAYLOAD_MOST) else { return };
+        let some: Vec<Identity> = others.choose_multiple(&mut self.rng, FAN).cloned().collect();
+        for to in some {
+            self.send(now, &to, Payload::Facts, &news);
+        }
+    }
+
+    fn compare(&mut self, now: Micros) {
+        let others: Vec<&Identity> = self.members.there().collect();
+        let Some(to) = others.choose(&mut self.rng).map(|&to| to.clone()) else { return };
+        let digest = self.facts.digest(PAYLOAD_MOST);
+        self.send(now, &to, Payload::Digest, &digest);
+    }
+
+    fn look(&mut self, now: Micros) {
+        let there: std::collections::BTreeSet<&str> = self.members.there().map(|m| m.name.as_str()).collect();
+        self.facts.look(now, |name| there.contains(name));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,260 @@
+//! Plays scripts on virtual time and prints what members knew and when, as tables.
+
+use driftfront_fleet::seal::{Payload, Seal};
+use driftfront_fleet::{About, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
+use driftfront_lab::{Script, World};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::process::ExitCode;
+
+const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N]
+    a member is killed after 20 s and the rest watched for 20 s more: how long until all know, who was called down
+    though it was there, and what each sends
+driftfront-lab storm [--members N] [--runs K] [--seed N]
+    storms of faults drawn by their seeds, then quiet: how long until all have one view again; a seed that does not is named
+driftfront-lab fuzz [--runs N] [--seed N]
+    spoilt datagrams, and well sealed ones with spoilt payloads, into one member that goes on talking to another
+driftfront-lab play SCRIPT
+    plays a script and prints each change of a member's view of another";
+
+const S: Micros = 1_000_000;
+
+fn percentile(sorted: &[Micros], part: f64) -> f64 {
+    let place = ((sorted.len() as f64 * part).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
+    sorted.get(place).map_or(f64::NAN, |&t| t as f64 / 1e6)
+}
+
+fn members(mut args: pico_args::Arguments) -> Result<(), String> {
+    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: f64| {
+        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
+    };
+    let n = number(&mut args, "--members", 24.0)? as u32;
+    let runs = number(&mut args, "--runs", 20.0)? as u64;
+    let loss = number(&mut args, "--loss", 0.0)?;
+    let seed = number(&mut args, "--seed", 1.0)? as u64;
+    let mut first: Vec<Micros> = Vec::new();
+    let mut all: Vec<Micros> = Vec::new();
+    let (mut false_deaths, mut unknowing, mut sent, mut bytes) = (0u64, 0u64, 0u64, 0u64);
+    for run in 0..runs {
+        let victim = n - 1 - (run % u64::from(n.saturating_sub(3).max(1))) as u32;
+        let text = format!(
+            "members {n}\nseed {}\nlink \"all\" \"all\" loss={loss:.3} delay=\"1 ms\" jitter=\"1 ms\"\n\
+             at \"20 s\" {{ kill \"m{victim}\" }}",
+            seed + run
+        );
+        let mut world = World::new(Script::read(&text)?);
+        world.play(10 * S, |_| false);
+        let before: (u64, u64) = sums(&world, n);
+        world.play(20 * S, |_| false);
+        let after = sums(&world, n);
+        (sent, bytes) = (sent + after.0 - before.0, bytes + after.1 - before.1);
+        world.play(40 * S, |_| false);
+        let down = |s: &&driftfront_lab::world::Seen| s.standing == Some(Standing::Down);
+        let mut knew: Vec<Micros> = world
+            .seen
+            .iter()
+            .filter(down)
+            .filter(|s| s.of == victim && s.at >= 20 * S)
+            .map(|s| s.at - 20 * S)
+            .collect();
+        knew.sort_unstable();
+        first.extend(knew.first());
+        all.extend(knew.last());
+        let gone = (0..n).filter(|&by| by != victim && world.standing(by, victim) != Some(Standing::Down));
+        unknowing += gone.count() as u64;
+        false_deaths +=
+            world.seen.iter().filter(down).filter(|s| s.of != victim && s.at > 5 * S).count() as u64;
+    }
+    first.sort_unstable();
+    all.sort_unstable();
+    let each = runs as f64 * 10.0 * f64::from(n);
+    println!("members {n}, loss {loss}, {runs} runs from seed {seed}");
+    println!(
+        "  first knows of a death  p50 {:.2} s  p99 {:.2} s",
+        percentile(&first, 0.5),
+        percentile(&first, 0.99)
+    );
+    println!(
+        "  all know                p50 {:.2} s  p99 {:.2} s  max {:.2} s; {unknowing} never did in 20 s",
+        percentile(&all, 0.5),
+        percentile(&all, 0.99),
+        percentile(&all, 1.0)
+    );
+    println!("  called down though there {false_deaths} times, by any of all");
+    println!("  each sends {:.1} datagrams, {:.0} bytes a second", sent as f64 / each, bytes as f64 / each);
+    Ok(())
+}
+
+fn sums(world: &World, n: u32) -> (u64, u64) {
+    (0..n).map(|m| world.counters(m)).fold((0, 0), |sum, c| (sum.0 + c.sent, sum.1 + c.sent_bytes))
+}
+
+/// Feeds a member what no honest one sends, one input after another; an input that makes it panic ends the run with its
+/// number, which with the seed makes it again.
+fn fuzz(mut args: pico_args::Arguments) -> Result<(), String> {
+    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: u64| {
+        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
+    };
+    let (runs, seed) = (number(&mut args, "--runs", 1_000_000)?, number(&mut args, "--seed", 1)?);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let keys = || Keyring::of(Key::parse("000102030405060708090a0b0c0d0e0f").expect("32 digits"));
+    let fleet = |n: u8, rng: &mut SmallRng| {
+        let me = Identity {
+            name: format!("m{n}"),
+            addr: driftfront_lab::world::addr(u32::from(n)),
+            session: u64::from(n),
+            back: 0,
+        };
+        let seeds = vec![driftfront_lab::world::addr(1), driftfront_lab::world::addr(2)];
+        Fleet::new(0, Options { me, about: About::default(), keys: keys(), seeds, seed: rng.random() })
+    };
+    let (mut target, mut peer) = (fleet(1, &mut rng), fleet(2, &mut rng));
+    let mut forger = Seal::new(keys(), 99);
+    // Payloads as honest members send them, to be spoilt.
+    let mut honest: Vec<Vec<u8>> = Vec::new();
+    let mut clock = 0;
+    for n in 0..runs {
+        clock += 50;
+        if n % 500 == 0 {
+            for _ in 0..2 {
+                target.tick(clock);
+                peer.tick(clock);
+                peer.tell(rng.random_range(2..6), &rng.random::<[u8; 8]>());
+                while let Some((_, bytes)) = target.to_send() {
+                    peer.take(clock, &bytes);
+                }
+                while let Some((_, bytes)) = peer.to_send() {
+                    if honest.len() < 400 {
+                        honest.push(bytes.clone());
+                    } else {
+                        honest[rng.random_range(0..400)] = bytes.clone();
+                    }
+                    target.take(clock, &bytes);
+                }
+            }
+        }
+        let mut input: Vec<u8> = match honest.choose(&mut rng) {
+            Some(one) if rng.random_bool(0.9) => one.clone(),
+            _ => (0..rng.random_range(0..1300)).map(|_| rng.random()).collect(),
+        };
+        let kind = rng.random_range(0..4);
+        // Sealed well: the payload alone is spoilt.
+        if kind < 3 && input.len() > 45 {
+            let payload = [Payload::Members, Payload::Facts, Payload::Digest, Payload::Unknown(77)];
+            let payload = payload[usize::from(input[28].clamp(1, 4)) - 1];
+            let mut bytes = input[29..input.len() - 16].to_vec();
+            for _ in 0..rng.random_range(0..6) {
+                let at = rng.random_range(0..bytes.len());
+                match rng.random_range(0..4) {
+                    0 => bytes[at] = rng.random(),
+                    1 => bytes[at] ^= 1 << rng.random_range(0..8),
+                    2 => bytes.truncate(at.max(1)),
+                    _ => bytes.insert(at, rng.random()),
+                }
+            }
+            bytes.truncate(1150);
+            input =
+                forger.seal(payload, &bytes, if rng.random_bool(0.5) { 1 } else { 0 }).unwrap_or_default();
+        } else if !input.is_empty() {
+            let at = rng.random_range(0..input.len());
+            input[at] ^= 1 << rng.random_range(0..8);
+        }
+        let stood = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            target.take(clock, &input);
+            while target.to_send().is_some() {}
+        }));
+        if stood.is_err() {
+            return Err(format!("seed {seed}, input {n}: {input:02x?}"));
+        }
+    }
+    let c = target.counters();
+    println!(
+        "{runs} inputs from seed {seed}: taken {}, spoilt {}, foreign {}, replayed {}",
+        c.taken, c.spoilt, c.foreign, c.replayed
+    );
+    println!(
+        "  unreadable {}, facts refused {}, of an unknown kind {}",
+        c.unreadable, c.refused, c.unknown_kind
+    );
+    println!("  it stands, and sees {} others", target.others());
+    Ok(())
+}
+
+fn storms(mut args: pico_args::Arguments) -> Result<(), String> {
+    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: u64| {
+        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
+    };
+    let members = number(&mut args, "--members", 8)? as u32;
+    let (runs, first) = (number(&mut args, "--runs", 100)?, number(&mut args, "--seed", 1)?);
+    let all: Vec<u32> = (0..members).collect();
+    let (mut took, mut never): (Vec<Micros>, Vec<u64>) = (Vec::new(), Vec::new());
+    let (mut deaths_after, mut most_sent) = (0u64, 0u64);
+    for seed in first..first + runs {
+        let script = driftfront_lab::storm::storm(members, seed, true);
+        let (quiet, until) = (driftfront_lab::storm::QUIET, script.until);
+        let mut world = World::new(script);
+        world.play(quiet, |_| false);
+        let before = sums(&world, members).0;
+        match world.play(until, |w| w.time() > quiet && w.agree(&all)) {
+            true => took.push(world.time() - quiet),
+            false => never.push(seed),
+        }
+        let seconds = ((world.time() - quiet) / S).max(1) * u64::from(members);
+        most_sent = most_sent.max((sums(&world, members).0 - before) / seconds);
+        let settled = world.time();
+        world.play(settled + 5 * S, |_| false);
+        deaths_after +=
+            world.seen.iter().filter(|s| s.at > settled && s.standing == Some(Standing::Down)).count() as u64;
+    }
+    took.sort_unstable();
+    println!("members {members}, {runs} storms from seed {first}");
+    println!(
+        "  one view again after    p50 {:.2} s  p99 {:.2} s  max {:.2} s; never within the time owed: {never:?}",
+        percentile(&took, 0.5),
+        percentile(&took, 0.99),
+        percentile(&took, 1.0)
+    );
+    println!("  called down in the 5 s after that {deaths_after} times, by any of all");
+    println!("  each sent at most {most_sent} datagrams a second on average while they settled");
+    if never.is_empty() {
+        Ok(())
+    } else {
+        Err("some never had one view again".into())
+    }
+}
+
+fn play(mut args: pico_args::Arguments) -> Result<(), String> {
+    let path: String = args.free_from_str().map_err(|e| e.to_string())?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    let script = Script::read(&text).map_err(|e| format!("{path}: {e}"))?;
+    let until = script.until;
+    let mut world = World::new(script);
+    world.play(until, |_| false);
+    for s in &world.seen {
+        println!("{:8.3} s  m{} sees m{} {:?}", s.at as f64 / 1e6, s.by, s.of, s.standing);
+    }
+    println!("trace {:016x}", world.trace);
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    let done = match args.subcommand() {
+        Ok(Some(command)) if command == "members" => members(args),
+        Ok(Some(command)) if command == "fuzz" => fuzz(args),
+        Ok(Some(command)) if command == "storm" => storms(args),
+        Ok(Some(command)) if command == "play" => play(args),
+        _ => {
+            println!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,373 @@
+//! Many members and the network between them, on virtual time: one thread, one seed, the same to the byte each time.
+
+use crate::script::{Deed, Group, Link, Script};
+use driftfront_fleet::{About, Counters, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A process looks at its timers this often.
+const SWEEP: Micros = 25_000;
+/// Datagrams that a process's socket holds while it stands still.
+const SOCKET_HOLDS: usize = 256;
+/// Members whose addresses all are told at their start.
+const SEEDS: u32 = 3;
+
+struct Process {
+    fleet: Option<Fleet>,
+    /// Stands still; what comes waits in its socket.
+    stopped: bool,
+    socket: VecDeque<Vec<u8>>,
+    /// What its clock shows more than the world's.
+    clock: i64,
+    starts: u32,
+    /// Counts of its earlier lives.
+    before: Counters,
+}
+
+enum Event {
+    Look(u32),
+    Deliver(u32, Vec<u8>),
+}
+
+/// A member's view of another's standing, and when it came to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// When.
+    pub at: Micros,
+    /// Who sees.
+    pub by: u32,
+    /// Whom.
+    pub of: u32,
+    /// How.
+    pub standing: Option<Standing>,
+}
+
+/// The world.
+pub struct World {
+    now: Micros,
+    script: Script,
+    next_deed: usize,
+    processes: Vec<Process>,
+    links: BTreeMap<(u32, u32), Link>,
+    usual: Vec<(Group, Group, Link)>,
+    queue: BTreeMap<(Micros, u64), Event>,
+    order: u64,
+    rng: SmallRng,
+    /// Standing of each at each, as last seen.
+    views: BTreeMap<(u32, u32), Standing>,
+    /// Each change of them, in order.
+    pub seen: Vec<Seen>,
+    /// A sum over all that was sent, for comparing runs.
+    pub trace: u64,
+}
+
+/// The name of a member.
+pub fn name(member: u32) -> String {
+    format!("m{member}")
+}
+
+/// Where a member's datagrams go.
+pub fn addr(member: u32) -> SocketAddr {
+    SocketAddr::from(([127, 1, (member >> 8) as u8, member as u8], 7946))
+}
+
+fn member_at(addr: SocketAddr) -> Option<u32> {
+    match addr {
+        SocketAddr::V4(v4) => {
+            let [_, _, high, low] = v4.ip().octets();
+            Some(u32::from(high) << 8 | u32::from(low))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+fn keys() -> Keyring {
+    Keyring::of(Key::parse("000102030405060708090a0b0c0d0e0f").expect("32 digits"))
+}
+
+impl World {
+    /// All members of a script, just started.
+    pub fn new(script: Script) -> World {
+        let rng = SmallRng::seed_from_u64(script.seed);
+        let process = |_| Process {
+            fleet: None,
+            stopped: false,
+            socket: VecDeque::new(),
+            clock: 0,
+            starts: 0,
+            before: Counters::default(),
+        };
+        let mut world = World {
+            now: 1_000_000_000,
+            next_deed: 0,
+            processes: (0..script.members).map(process).collect(),
+            links: BTreeMap::new(),
+            usual: Vec::new(),
+            queue: BTreeMap::new(),
+            order: 0,
+            rng,
+            views: BTreeMap::new(),
+            seen: Vec::new(),
+            trace: 0xcbf2_9ce4_8422_2325,
+            script,
+        };
+        for member in 0..world.script.members {
+            world.start(member);
+        }
+        world
+    }
+
+    /// Time since the script's beginning.
+    pub fn time(&self) -> Micros {
+        self.now - 1_000_000_000
+    }
+
+    /// A member's fleet, while it lives.
+    pub fn fleet(&mut self, member: u32) -> Option<&mut Fleet> {
+        self.processes[member as usize].fleet.as_mut()
+    }
+
+    /// Members that live and don't stand still.
+    pub fn living(&self) -> Vec<u32> {
+        let lives = |m: &u32| {
+            let p = &self.processes[*m as usize];
+            p.fleet.is_some() && !p.stopped
+        };
+        (0..self.script.members).filter(lives).collect()
+    }
+
+    /// Counts of all lives of a member.
+    pub fn counters(&self, member: u32) -> Counters {
+        let p = &self.processes[member as usize];
+        let mut sum = p.before;
+        if let Some(c) = p.fleet.as_ref().map(Fleet::counters) {
+            sum.sent += c.sent;
+            sum.sent_bytes += c.sent_bytes;
+            sum.taken += c.taken;
+            sum.downs += c.downs;
+            sum.backs += c.backs;
+            sum.withheld += c.withheld;
+            sum.replayed += c.replayed;
+            sum.stale += c.stale;
+            sum.unreadable += c.unreadable;
+            sum.refused += c.refused;
+        }
+        sum
+    }
+
+    /// How one sees another now; `None` where it does not know it.
+    pub fn standing(&self, by: u32, of: u32) -> Option<Standing> {
+        self.views.get(&(by, of)).copied()
+    }
+
+    /// Whether all that live see just these there.
+    pub fn agree(&self, there: &[u32]) -> bool {
+        let sees =
+            |by: u32, of: u32| matches!(self.standing(by, of), Some(Standing::Alive | Standing::Doubted));
+        let all = 0..self.script.members;
+        self.living()
+            .iter()
+            .all(|&by| all.clone().filter(|&of| of != by).all(|of| sees(by, of) == there.contains(&of)))
+    }
+
+    fn push(&mut self, at: Micros, event: Event) {
+        self.order += 1;
+        self.queue.insert((at, self.order), event);
+    }
+
+    fn start(&mut self, member: u32) {
+        let clock = self.clock(member);
+        let seed = self.rng.random();
+        let phase = self.rng.random_range(0..SWEEP);
+        let session = Identity::session_at(clock, self.rng.random());
+        let p = &mut self.processes[member as usize];
+        if p.fleet.is_some() {
+            return;
+        }
+        p.starts += 1;
+        let me = Identity { name: name(member), addr: addr(member), session, back: 0 };
+        let about = About {
+            zone: format!("z{}", member % self.script.zones),
+            build: "lab".into(),
+            since_ms: clock / 1000,
+            ..About::default()
+        };
+        let seeds = (0..SEEDS.min(self.script.members)).map(addr).collect();
+        let options = Options { me, about, keys: keys(), seeds, seed };
+        p.fleet = Some(Fleet::new(clock, options));
+        p.socket.clear();
+        p.stopped = false;
+        self.push(self.now + phase, Event::Look(member));
+    }
+
+    fn clock(&self, member: u32) -> Micros {
+        (self.now as i64 + self.processes[member as usize].clock) as Micros
+    }
+
+    fn end(&mut self, member: u32) {
+        let before = self.counters(member);
+        let p = &mut self.processes[member as usize];
+        p.before = before;
+        p.fleet = None;
+        p.socket.clear();
+        // What it saw is not asked any more.
+        self.views.retain(|(by, _), _| *by != member);
+    }
+
+    fn link(&self, from: u32, to: u32) -> Link {
+        if let Some(link) = self.links.get(&(from, to)) {
+            return *link;
+        }
+        let zones = self.script.zones;
+        let usual = self.usual.iter().rev().find(|u| u.0.has(from, zones) && u.1.has(to, zones));
+        usual.map_or(Link::default(), |u| u.2)
+    }
+
+    fn carry(&mut self, from: u32, to: SocketAddr, bytes: Vec<u8>) {
+        for b in &bytes {
+            self.trace = (self.trace ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
+        }
+        let Some(to) = member_at(to).filter(|&m| m < self.script.members) else { return };
+        let link = self.link(from, to);
+        let copies = 1 + u32::from(self.rng.random_bool(link.repeat));
+        for _ in 0..copies {
+            if link.cut || self.rng.random_bool(link.loss) {
+                continue;
+            }
+            let late = if link.jitter > 0 { self.rng.random_range(0..link.jitter) } else { 0 };
+            self.push(self.now + link.delay + late, Event::Deliver(to, bytes.clone()));
+        }
+    }
+
+    /// What a process does once something has come, or its time.
+    fn work(&mut self, member: u32, look: bool) {
+        let clock = self.clock(member);
+        let p = &mut self.processes[member as usize];
+        if p.stopped {
+            return;
+        }
+        let Some(fleet) = p.fleet.as_mut() else { return };
+        for bytes in p.socket.drain(..) {
+            fleet.take(clock, &bytes);
+        }
+        if look {
+            fleet.tick(clock);
+        }
+        let mut sends = Vec::new();
+        while let Some(send) = fleet.to_send() {
+            sends.push(send);
+        }
+        for (to, bytes) in sends {
+            self.carry(member, to, bytes);
+        }
+    }
+
+    /// Notes what has changed in how a member sees the others.
+    fn watch(&mut self, by: u32) {
+        let Some(fleet) = self.processes[by as usize].fleet.as_ref() else { return };
+        for view in fleet.members().into_iter().filter(|v| !v.is_me) {
+            let Some(of) = view.name.strip_prefix('m').and_then(|n| n.parse().ok()) else { continue };
+            if self.views.insert((by, of), view.standing) != Some(view.standing) {
+                self.seen.push(Seen { at: self.now - 1_000_000_000, by, of, standing: Some(view.standing) });
+            }
+        }
+    }
+
+    fn members_of(&self, groups: &[Group]) -> Vec<u32> {
+        let zones = self.script.zones;
+        (0..self.script.members).filter(|&m| groups.iter().any(|g| g.has(m, zones))).collect()
+    }
+
+    fn deed(&mut self, deed: Deed) {
+        match deed {
+            Deed::Link(from, to, link) => self.usual.push((from, to, link)),
+            Deed::Heal => self.links.clear(),
+            Deed::Cut(groups, (out, into)) => {
+                let some = self.members_of(&groups);
+                for &one in &some {
+                    for other in (0..self.script.members).filter(|m| !some.contains(m)) {
+                        let ways = [((one, other), out), ((other, one), into)];
+                        for (way, _) in ways.into_iter().filter(|w| w.1) {
+                            let link = Link { cut: true, ..self.link(way.0, way.1) };
+                            self.links.insert(way, link);
+                        }
+                    }
+                }
+            }
+            Deed::Kill(groups) => self.members_of(&groups).into_iter().for_each(|m| self.end(m)),
+            Deed::Stop(groups) => {
+                for m in self.members_of(&groups) {
+                    self.processes[m as usize].stopped = true;
+                }
+            }
+            Deed::Wake(groups) => {
+                for m in self.members_of(&groups) {
+                    self.processes[m as usize].stopped = false;
+                    self.work(m, false);
+                }
+            }
+            Deed::Start(groups) => self.members_of(&groups).into_iter().for_each(|m| self.start(m)),
+            Deed::Leave(groups) => {
+                for m in self.members_of(&groups) {
+                    let clock = self.clock(m);
+                    if let Some(fleet) = self.fleet(m) {
+                        fleet.leave(clock);
+                    }
+                    self.work(m, false);
+                    self.end(m);
+                }
+            }
+            Deed::Clock(groups, by) => {
+                for m in self.members_of(&groups) {
+                    self.processes[m as usize].clock += by;
+                }
+            }
+        }
+    }
+
+    /// Plays on until this time of the script, or until this holds; whether it does.
+    pub fn play(&mut self, until: Micros, holds: impl Fn(&World) -> bool) -> bool {
+        while self.time() < until {
+            let due = self.script.deeds.get(self.next_deed).map(|d| d.0 + 1_000_000_000);
+            let next = self.queue.first_key_value().map(|e| e.0 .0);
+            let end = until + 1_000_000_000;
+            let at = due.into_iter().chain(next).min().unwrap_or(end);
+            if at > end {
+                self.now = end;
+                break;
+            }
+            self.now = self.now.max(at);
+            if due.is_some_and(|due| due <= at) {
+                let deed = self.script.deeds[self.next_deed].1.clone();
+                self.next_deed += 1;
+                self.deed(deed);
+                continue;
+            }
+            match self.queue.pop_first().map(|e| e.1) {
+                Some(Event::Look(m)) => {
+                    if self.processes[m as usize].fleet.is_some() {
+                        self.push(self.now + SWEEP, Event::Look(m));
+                    }
+                    if !self.processes[m as usize].stopped {
+                        self.work(m, true);
+                        self.watch(m);
+                        if holds(self) {
+                            return true;
+                        }
+                    }
+                }
+                Some(Event::Deliver(to, bytes)) => {
+                    let p = &mut self.processes[to as usize];
+                    if p.fleet.is_some() && p.socket.len() < SOCKET_HOLDS {
+                        p.socket.push_back(bytes);
+                        self.work(to, false);
+                    }
+                }
+                None => {}
+            }
+        }
+        holds(self)
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/members.rs
@@ -0,0 +1,181 @@
+//! Members under faults, on virtual time. Bounds are on the script's own time, so that the verdict is the same each time.
+
+use driftfront_fleet::Standing;
+use driftfront_lab::{Script, World};
+
+const S: u64 = 1_000_000;
+
+fn world(script: &str) -> World {
+    World::new(Script::read(script).expect("a script"))
+}
+
+fn all(n: u32) -> Vec<u32> {
+    (0..n).collect()
+}
+
+/// Those that some living member called down though they were there, but for these.
+fn false_deaths(world: &World, but: &[u32]) -> usize {
+    let false_ones =
+        |s: &&driftfront_lab::world::Seen| s.standing == Some(Standing::Down) && !but.contains(&s.of);
+    world.seen.iter().filter(false_ones).count()
+}
+
+#[test]
+fn all_that_start_at_the_same_moment_know_each_other_soon() {
+    let mut w = world("members 24 zones=3");
+    assert!(w.play(5 * S, |w| w.agree(&all(24))), "not in five seconds");
+}
+
+#[test]
+fn three_of_eight_that_are_killed_at_once_are_known_to_be_gone_by_all_in_time() {
+    for seed in 1..=20 {
+        let mut w = world(&format!("members 8\nseed {seed}\nat \"10 s\" {{ kill \"m1\" \"m4\" \"m6\" }}"));
+        assert!(w.play(10 * S, |w| w.agree(&all(8))));
+        assert!(w.play(16 * S, |w| w.time() > 10 * S && w.agree(&[0, 2, 3, 5, 7])), "seed {seed}");
+        assert_eq!(false_deaths(&w, &[1, 4, 6]), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn halves_that_were_cut_apart_know_only_themselves_and_find_each_other_again() {
+    for seed in 1..=5 {
+        let script = "at \"5 s\" { cut \"m0\" \"m1\" \"m2\" \"m3\" }\nat \"15 s\" { heal }";
+        let mut w = world(&format!("members 8\nseed {seed}\n{script}"));
+        assert!(w.play(5 * S, |w| w.agree(&all(8))));
+        let apart = |w: &World| {
+            let sees = |by: u32, of: u32| w.standing(by, of) != Some(Standing::Down);
+            (0..8).all(|by| (0..8).all(|of| by == of || sees(by, of) == ((by < 4) == (of < 4))))
+        };
+        assert!(w.play(15 * S, apart), "seed {seed}: never apart");
+        assert!(w.play(26 * S, |w| w.time() > 15 * S && w.agree(&all(8))), "seed {seed}: never one again");
+    }
+}
+
+#[test]
+fn one_that_hears_all_and_reaches_none_is_gone_for_them_and_comes_back() {
+    let mut w = world("members 8\nseed 3\nat \"5 s\" { cut \"m2\" ways=\"out\" }\nat \"20 s\" { heal }");
+    assert!(w.play(5 * S, |w| w.agree(&all(8))));
+    let gone = |w: &World| (0..8).filter(|&m| m != 2).all(|m| w.standing(m, 2) == Some(Standing::Down));
+    assert!(w.play(12 * S, gone));
+    // Nobody else is doubted for it for long.
+    w.play(20 * S, |_| false);
+    assert_eq!(
+        w.seen.iter().filter(|s| s.by != 2 && s.of != 2 && s.standing == Some(Standing::Down)).count(),
+        0
+    );
+    assert!(w.play(32 * S, |w| w.time() > 20 * S && w.agree(&all(8))));
+}
+
+#[test]
+fn a_process_that_was_stopped_and_wakes_accuses_nobody() {
+    for seed in 1..=10 {
+        let mut w = world(&format!(
+            "members 8\nseed {seed}\nat \"5 s\" {{ stop \"m3\" }}\nat \"13 s\" {{ wake \"m3\" }}"
+        ));
+        assert!(w.play(5 * S, |w| w.agree(&all(8))));
+        w.play(13 * S, |_| false);
+        assert_eq!(w.standing(0, 3), Some(Standing::Down));
+        assert!(w.play(24 * S, |w| w.time() > 13 * S && w.agree(&all(8))), "seed {seed}");
+        assert_eq!(
+            w.seen.iter().filter(|s| s.by == 3 && s.standing == Some(Standing::Down)).count(),
+            0,
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn a_clock_that_jumps_by_an_hour_harms_nobody() {
+    for by in ["3600 s", "-900 s"] {
+        let mut w = world(&format!("members 8\nat \"5 s\" {{ clock \"m3\" by=\"{by}\" }}"));
+        assert!(w.play(5 * S, |w| w.agree(&all(8))));
+        w.play(20 * S, |_| false);
+        assert!(w.agree(&all(8)) && false_deaths(&w, &[]) == 0, "{by}");
+    }
+}
+
+#[test]
+fn where_all_seeds_are_dead_at_the_start_the_others_wait_for_one_and_then_know_each_other() {
+    let mut w = world("members 8\nkill \"m0\" \"m1\" \"m2\"\nat \"10 s\" { start \"m1\" }");
+    w.play(9 * S, |_| false);
+    assert!((3..8).all(|m| w.standing(m, 7 - m % 2).is_none() || m == 7 - m % 2));
+    assert!(w.play(18 * S, |w| w.time() > 10 * S && w.agree(&[1, 3, 4, 5, 6, 7])));
+}
+
+#[test]
+fn who_is_started_again_under_its_name_is_the_same_member_anew() {
+    let mut w = world("members 8\nat \"5 s\" { kill \"m3\" }\nat \"5500 ms\" { start \"m3\" }\nat \"12 s\" { kill \"m4\" }\nat \"20 s\" { start \"m4\" }");
+    assert!(w.play(5 * S, |w| w.agree(&all(8))));
+    w.play(12 * S, |_| false);
+    assert!(w.agree(&all(8)));
+    assert!(w.play(30 * S, |w| w.time() > 20 * S && w.agree(&all(8))));
+    assert_eq!(false_deaths(&w, &[3, 4]), 0);
+}
+
+#[test]
+fn who_leaves_in_order_is_gone_at_once() {
+    let mut w = world("members 8\nat \"5 s\" { leave \"m3\" }");
+    assert!(w.play(5 * S, |w| w.agree(&all(8))));
+    assert!(w.play(5 * S + 700_000, |w| w.time() > 5 * S && w.agree(&[0, 1, 2, 4, 5, 6, 7])));
+}
+
+#[test]
+fn a_third_of_all_datagrams_lost_kills_nobody_for_long_and_hides_no_death() {
+    let mut w = world("members 16\nseed 5\nlink \"all\" \"all\" loss=0.3 repeat=0.1 delay=\"2 ms\" jitter=\"20 ms\"\nat \"20 s\" { kill \"m9\" }");
+    assert!(w.play(10 * S, |w| w.agree(&all(16))));
+    let rest: Vec<u32> = (0..16).filter(|&m| m != 9).collect();
+    assert!(w.play(28 * S, |w| w.time() > 20 * S && w.agree(&rest)));
+    // Repeated datagrams were taken once.
+    assert!((0..8).all(|m| w.counters(m).replayed > 0));
+}
+
+#[test]
+fn a_fact_is_everybody_s_soon_also_behind_a_cut_and_is_marked_when_its_owner_is_gone() {
+    let mut w = world(
+        "members 12\nseed 2\nat \"5 s\" { cut \"m11\" }\nat \"12 s\" { heal }\nat \"30 s\" { kill \"m0\" }",
+    );
+    assert!(w.play(5 * S, |w| w.agree(&all(12))));
+    w.play(6 * S, |_| false);
+    assert!(w.fleet(0).unwrap().tell(9, b"told while one was cut off"));
+    w.play(9 * S, |_| false);
+    for m in 1..11 {
+        assert!(w.fleet(m).unwrap().fact("m0", 9).is_some(), "m{m}");
+    }
+    assert!(w.fleet(11).unwrap().fact("m0", 9).is_none());
+    w.play(29 * S, |_| false);
+    let fleet = w.fleet(11).unwrap();
+    let fact = fleet.fact("m0", 9).expect("comparisons bring what rumours missed");
+    assert!(fact.reachable && fact.age >= 20 * S && fact.age < 25 * S, "{fact:?}");
+    w.play(36 * S, |_| false);
+    assert!(!w.fleet(11).unwrap().fact("m0", 9).unwrap().reachable);
+}
+
+#[test]
+fn the_same_script_is_the_same_to_the_byte() {
+    let script = "members 40 zones=4\nseed 11\nlink \"z0\" \"z1\" loss=0.2 jitter=\"30 ms\"\nat \"3 s\" { kill \"m7\" }\nat \"4 s\" { cut \"z2\" }\nat \"8 s\" { heal }";
+    let run = || {
+        let mut w = world(script);
+        w.play(12 * S, |_| false);
+        (w.trace, w.seen.len())
+    };
+    assert_eq!(run(), run());
+    let other = script.replace("seed 11", "seed 12");
+    let mut w = world(&other);
+    w.play(12 * S, |_| false);
+    assert_ne!(w.trace, run().0);
+}
+
+#[test]
+fn what_a_member_sends_does_not_grow_with_the_fleet() {
+    let mut a_second = Vec::new();
+    for members in [8, 96] {
+        let mut w = world(&format!("members {members}"));
+        assert!(w.play(15 * S, |w| w.agree(&all(members))), "{members}");
+        w.play(15 * S, |_| false);
+        let before: u64 = (0..members).map(|m| w.counters(m).sent).sum();
+        w.play(25 * S, |_| false);
+        let after: u64 = (0..members).map(|m| w.counters(m).sent).sum();
+        a_second.push((after - before) as f64 / 10.0 / f64::from(members));
+    }
+    assert!(a_second[1] < 2.0 * a_second[0] && a_second[1] < 60.0, "{a_second:?}");
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -33,6 +33,23 @@
     Fixed,
 }
 
+/// How a coordinator takes part in a fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetConfig {
+    /// Where datagrams come in.
+    pub listen: SocketAddr,
+    /// Where others send them, if that is another address.
+    pub advertise: Option<SocketAddr>,
+    /// The file with the keys.
+    pub key_file: PathBuf,
+    /// Whom to ask to be let in.
+    pub seeds: Vec<SocketAddr>,
+    /// The coordinator's own zone and region; empty for none.
+    pub zone: String,
+    /// See `zone`.
+    pub region: String,
+}
+
 /// All that a coordinator is told at its start.
 pub struct Config {
     /// The file it was read from, to be read again on SIGHUP.
@@ -87,6 +104,8 @@
     pub management: Option<String>,
     /// The folder for what is to outlive a restart.
     pub state: Option<PathBuf>,
+    /// Other coordinators, where the operator's file has a fleet.
+    pub fleet: Option<FleetConfig>,
 }
 
 /// A key's rest is lengthened by this: an attempt's end reaches the engine after we book it.
@@ -211,6 +230,10 @@
         let told = || std::env::var("LB_MANAGEMENT").ok();
         let management = root.get("management").text().map(String::from).or_else(told);
         let seed = root.get("seed").text().unwrap_or_default();
+        let fleet = fleet(root.get("fleet"))?;
+        if fleet.is_some() && wire == Wire::Platform && !settings.may_message {
+            return Err("fleet: the settings bar talk among instances (Caps.Peers)".into());
+        }
         Ok(Config {
             file: None,
             name: root.get("name").text().unwrap_or("driftfront").into(),
@@ -253,6 +276,26 @@
             control_port,
             management: management.filter(|at| !at.is_empty()),
             state: root.get("state").text().map(PathBuf::from),
+            fleet,
         })
     }
 }
+
+fn fleet(json: Json) -> Result<Option<FleetConfig>, String> {
+    if json.is_null() {
+        return Ok(None);
+    }
+    let address =
+        |key: &str, text: &str| text.parse::<SocketAddr>().map_err(|e| format!("fleet.{key}: {text}: {e}"));
+    let need = |key: &str| json.get(key).text().ok_or(format!("fleet.{key} is missing or not a string"));
+    let told = |key: &str| json.get(key).text().unwrap_or_default().to_string();
+    let seeds = json.get("seeds").each().map(|s| address("seeds", s.text().unwrap_or_default()));
+    Ok(Some(FleetConfig {
+        listen: address("listen", need("listen")?)?,
+        advertise: json.get("advertise").text().map(|a| address("advertise", a)).transpose()?,
+        key_file: need("key_file")?.into(),
+        seeds: seeds.collect::<Result<_, _>>()?,
+        zone: told("zone"),
+        region: told("region"),
+    }))
+}
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -21,6 +21,11 @@
     };
     let _ = writeln!(text, "membership  {membership}; {} updates known", config.known.len());
     let _ = writeln!(text, "sockets     {}", config.sockets);
+    if let Some(fleet) = &config.fleet {
+        let keys = crate::node::read_keys(&fleet.key_file);
+        let keys = keys.map_or_else(|why| why, |keys| format!("{} keys", keys.ids().len()));
+        let _ = writeln!(text, "fleet       {}, {} seeds, {keys}", fleet.listen, fleet.seeds.len());
+    }
     text
 }
 
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients.rs
@@ -640,7 +640,8 @@
         let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
         let upgrade = format!("{upgrade}listener_unblocked {}\n", self.unblocked);
         let open = self.core.open();
-        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}")
+        let fleet = self.fleet_counters();
+        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}{fleet}")
     }
 }
 
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -830,6 +830,7 @@
             queries,
             sessions: self.front.sessions(),
             roll,
+            members: self.fleet_members(),
         }
     }
 }
--- a/crates/node/src/node/feed.rs
+++ b/crates/node/src/node/feed.rs
@@ -100,6 +100,7 @@
             // A half-written or mistaken file must not end a coordinator that serves well.
             Err(e) => return tracing::error!("the old configuration stays: {e}"),
         };
+        self.reload_fleet(new.fleet.as_ref());
         if new.membership == self.config.membership {
             return tracing::info!("configuration read again; the list of engines stays where it is");
         }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -4,9 +4,11 @@
 mod control;
 mod engines;
 mod feed;
+mod fleet;
 mod management;
 mod upgrade;
 
+pub use self::fleet::read_keys;
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
 use crate::config::{Config, Wire};
 use crate::fronts::clickhouse::ClickHouse;
@@ -16,6 +18,7 @@
 use crate::members::facts;
 use crate::net::unix_now;
 use crate::service::End;
+
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
@@ -64,6 +67,8 @@
     control: Option<control::Control>,
     operators: Vec<control::Listener>,
     feed: feed::Feed,
+    /// Other coordinators, where the operator's file has a fleet.
+    fleet: Option<Box<fleet::Hands>>,
     next_sweep: Micros,
     /// Connections with more to do than one turn holds.
     later: Vec<Source>,
@@ -98,6 +103,7 @@
     Operator(ConnId),
     Management,
     Caller(ConnId),
+    Fleet,
 }
 
 impl Node {
@@ -130,6 +136,7 @@
             control: None,
             operators: Vec::new(),
             feed: feed::Feed::new(&config.membership, config.known_index, Backoff::new(config.seed)),
+            fleet: None,
             next_sweep: now,
             later: Vec::new(),
             carrying: false,
@@ -152,6 +159,7 @@
         node.open_control()?;
         node.take_known();
         node.open_management();
+        node.open_fleet()?;
         let socket = node.listener.clone();
         node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
@@ -188,6 +196,7 @@
                 Err(e) => tracing::error!("event loop: {e}"),
             }
         }
+        self.leave_fleet();
         tracing::info!("all taken is answered\n{}", self.counters());
         Ok(())
     }
@@ -241,6 +250,7 @@
             Source::Operator(id) => self.operator_ready(id),
             Source::Management => self.accept_callers(now),
             Source::Caller(id) => self.caller_ready(now, id),
+            Source::Fleet => self.fleet_ready(),
         }
         self.carry_out();
     }
@@ -253,7 +263,7 @@
             Source::Client(id) => self.drop_client(now, id),
             Source::Engine(id) => self.drop_engine(now, id, "a panic"),
             Source::Feed(_) => self.drop_feed(now, "a panic", Broken::Off),
-            Source::Operators(_) | Source::Management => {}
+            Source::Operators(_) | Source::Management | Source::Fleet => {}
             Source::Operator(id) => self.drop_operator(id),
             Source::Caller(id) => self.drop_caller(id),
         }
@@ -270,6 +280,7 @@
                     self.engine_write(now, id);
                     self.engine_read(now, id);
                 }
+                Source::Fleet => self.fleet_ready(),
                 _ => {}
             }
         }
@@ -280,6 +291,7 @@
             self.sweep_clients(now);
             self.sweep_engines(now);
             self.sweep_feed(now);
+            self.tend_fleet();
             self.front.tend(now);
             self.tend_control(now);
             self.sweep_callers(now);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -46,6 +46,10 @@
     ("state", "state \"/var/lib/driftfront\""),
     ("control", "control \"/run/driftfront.sock\""),
     ("kind", "kind \"std-8\" cores=8 memory-mb=16384"),
+    (
+        "fleet",
+        "fleet listen=\"127.0.0.1:7946\" key-file=\"/etc/driftfront/fleet.key\" { seed \"127.0.0.1:7947\" }",
+    ),
 ];
 
 struct Reader<'a> {
@@ -270,6 +274,9 @@
             root.push((name, self::text(&path)));
         }
     }
+    if let Some(node) = top.get("fleet") {
+        root.push(("fleet", fleet(&reader, node)?));
+    }
     let engines = engines(&reader, top.get("engines").copied(), &mut kinds)?;
     if let Some(membership) = engines.membership {
         root.push(("membership", membership));
@@ -355,6 +362,51 @@
     ))
 }
 
+/// Other coordinators.
+fn fleet(reader: &Reader, node: &KdlNode) -> Told<JsonValue> {
+    let told = reader.properties(node, &["listen", "advertise", "key-file", "zone", "region"])?;
+    let value = |key: &str| told.get(key).and_then(|e| e.value().as_string());
+    let address = |key: &str, text: &str, offset: usize| match text.parse::<std::net::SocketAddr>() {
+        Ok(_) => Ok(self::text(text)),
+        Err(_) => {
+            let what = format!("{key} is {text:?}, which is no address");
+            Err(reader.wrong(offset, what, format!("write {key}=\"127.0.0.1:7946\"")))
+        }
+    };
+    let mut fields = Vec::new();
+    for key in ["listen", "advertise"] {
+        match told.get(key) {
+            Some(entry) => {
+                let text = entry.value().as_string().unwrap_or_default();
+                fields.push((key, address(key, text, entry.span().offset())?));
+            }
+            None if key == "listen" => {
+                return Err(reader.at(node, "fleet says nothing of listen", "add listen=\"127.0.0.1:7946\""));
+            }
+            None => {}
+        }
+    }
+    let Some(key_file) = value("key-file") else {
+        let instead = "add key-file=\"/etc/driftfront/fleet.key\", a file of mode 600 with 32 hex digits";
+        return Err(reader.at(node, "fleet says nothing of key-file", instead));
+    };
+    fields.push(("key_file", text(key_file)));
+    for key in ["zone", "region"] {
+        fields.extend(value(key).map(|v| (key, text(v))));
+    }
+    let mut seeds = Vec::new();
+    for seed in node.children().map(|c| c.nodes()).unwrap_or(&[]) {
+        if seed.name().value() != "seed" {
+            let what = format!("fleet holds no {}", seed.name().value());
+            return Err(reader.at(seed, what, "it holds seed \"127.0.0.1:7947\""));
+        }
+        let at = reader.text_of(seed)?;
+        seeds.push(address("seed", &at, seed.span().offset())?);
+    }
+    fields.push(("seeds", list(seeds)));
+    Ok(object(fields))
+}
+
 #[derive(Default)]
 struct Engines {
     listed: Vec<JsonValue>,
--- a/crates/node/src/remote.rs
+++ b/crates/node/src/remote.rs
@@ -106,7 +106,7 @@
             }
             console::run(at, !no_color).map_err(io)
         }
-        "status" | "engines" | "classes" | "queries" => {
+        "status" | "engines" | "classes" | "queries" | "members" => {
             no_more(args)?;
             let s = snapshot(&mut connect(&at)?)?;
             if json {
@@ -114,6 +114,7 @@
                     "status" => s.to_json(),
                     "engines" => s.engines.to_json(),
                     "classes" => s.classes.to_json(),
+                    "members" => s.members.to_json(),
                     _ => s.queries.to_json(),
                 };
                 return say(&(value.stringify().unwrap_or_default() + "\n"));
@@ -122,6 +123,10 @@
                 "status" => words::plain(&s, width()),
                 "engines" => table(&words::engines(&s)),
                 "classes" => table(&words::classes(&s)),
+                "members" if s.members.is_empty() => {
+                    "There is no fleet: the operator's file has none.\n".into()
+                }
+                "members" => table(&words::members(&s)),
                 _ => table(&words::queries(&s)),
             })
         }
--- /dev/null
+++ b/crates/node/tests/fleet.rs
@@ -0,0 +1,168 @@
+//! Several processes of the program with faults between them. Waits are for what they say they see.
+
+use driftfront_rig::process::call;
+use driftfront_rig::Rig;
+use standins::engine::{Engine, Options};
+use standins::ledger::Ledger;
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+
+fn rig(script: &str) -> (Rig, Engine) {
+    let engine =
+        Engine::start(Options { name: "engine-1".into(), ..Options::default() }, Arc::new(Ledger::default()));
+    let rig = Rig::start(env!("CARGO_BIN_EXE_driftfront"), &engine.addr().to_string(), script);
+    (rig, engine)
+}
+
+fn query(rig: &Rig, member: u32) -> String {
+    let request = "GET /?query=SELECT%201 HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n";
+    call(rig.clients(member), request).expect("an answer")
+}
+
+#[test]
+fn coordinators_that_start_at_once_know_each_other_and_what_each_does() {
+    let (mut rig, _engine) = rig("members 5 zones=2");
+    rig.wait_until_seen(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
+    let served = |seen: &[driftfront_rig::Member]| {
+        seen.iter().all(|m| m.state == "serving" && m.build == env!("CARGO_PKG_VERSION"))
+    };
+    rig.wait(4, "all serve", served);
+    let zones: Vec<String> = rig.sees(3).into_iter().map(|m| m.zone).collect();
+    assert_eq!(zones, ["z0", "z1", "z0", "z1", "z0"]);
+    // One that ends in order is gone for the others before it could have been found out.
+    rig.now("leave \"m2\"");
+    assert!(rig.process(2).wait());
+    rig.wait_until_seen(&[0, 1, 3, 4], &[0, 1, 3, 4]);
+    assert_eq!(rig.counter(0, "fleet_members_down"), 1);
+}
+
+#[test]
+fn killed_ones_are_gone_for_all_and_back_under_their_names_when_started_again() {
+    let (mut rig, _engine) = rig("members 5");
+    rig.wait_until_seen(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
+    // Both of the other seeds among them.
+    rig.now("kill \"m1\" \"m2\"");
+    rig.wait_until_seen(&[0, 3, 4], &[0, 3, 4]);
+    assert!(query(&rig, 3).ends_with("1\n"), "a fleet that lost members serves on");
+    rig.now("start \"m1\" \"m2\"");
+    rig.wait_until_seen(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn halves_that_are_cut_apart_serve_by_themselves_and_are_one_again_after() {
+    let (mut rig, _engine) = rig("members 5");
+    rig.wait_until_seen(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
+    rig.now("cut \"m0\" \"m1\"");
+    rig.wait_until_seen(&[0, 1], &[0, 1]);
+    rig.wait_until_seen(&[2, 3, 4], &[2, 3, 4]);
+    for member in [0, 4] {
+        assert!(query(&rig, member).ends_with("1\n"));
+    }
+    rig.now("heal");
+    rig.wait_until_seen(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn one_that_reaches_nobody_is_gone_for_the_others_and_nobody_else_with_it() {
+    let (mut rig, _engine) = rig("members 4");
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    rig.now("cut \"m3\" ways=\"out\"");
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+    assert!(query(&rig, 3).ends_with("1\n"), "what is cut off serves");
+    rig.now("heal");
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    assert!((0..3).all(|m| rig.counter(m, "fleet_came_back") == 0));
+}
+
+#[test]
+fn a_process_that_was_stopped_comes_back_and_accuses_nobody() {
+    let (mut rig, _engine) = rig("members 4");
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    rig.now("stop \"m2\"");
+    rig.wait_until_seen(&[0, 1, 3], &[0, 1, 3]);
+    rig.now("wake \"m2\"");
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    // What it slept through it held against itself, not against them.
+    assert_eq!(rig.counter(2, "fleet_members_down"), 0);
+    assert!(rig.counter(2, "fleet_stumbles") > 0);
+}
+
+#[test]
+fn keys_are_changed_while_all_serve_and_who_has_none_of_them_is_nobody() {
+    let (mut rig, _engine) = rig("members 3");
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+    let (old, new) = (driftfront_rig::KEY, "f0f1f2f3f4f5f6f7f8f9fafbfcfdfeff");
+    let before: Vec<u64> = (0..3).map(|m| rig.counter(m, "fleet_members_down")).collect();
+    for step in [format!("{old}\n{new}"), format!("{new}\n{old}"), new.into()] {
+        rig.write_key(&step);
+        for member in 0..3 {
+            rig.process(member).signal("-HUP");
+        }
+        // Read, and used: datagrams go on to be taken by each.
+        for member in 0..3 {
+            let taken = rig.counter(member, "fleet_datagrams_taken");
+            rig.wait_for(member, "fleet_datagrams_taken", taken + 8);
+        }
+    }
+    assert_eq!(before, (0..3).map(|m| rig.counter(m, "fleet_members_down")).collect::<Vec<_>>());
+    // One that starts with the old key is let in by nobody, and serves by itself.
+    rig.now("kill \"m2\"");
+    rig.wait_until_seen(&[0, 1], &[0, 1]);
+    rig.write_key(old);
+    rig.now("start \"m2\"");
+    rig.wait_for(0, "fleet_datagrams_refused{why=\"unknown key\"}", 1);
+    rig.wait_until_seen(&[2], &[2]);
+    rig.wait_until_seen(&[0, 1], &[0, 1]);
+    assert!(query(&rig, 2).ends_with("1\n"));
+}
+
+#[test]
+fn a_flood_under_a_wrong_key_harms_neither_clients_nor_membership() {
+    let (rig, _engine) = rig("members 3");
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+    let (over, sent) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let target = rig.net.public(1);
+    let (done, count) = (over.clone(), sent.clone());
+    let flood = std::thread::spawn(move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        // Of this language, of its usual length, under the key that is in use by its name, but sealed with nothing.
+        let mut datagram = vec![0x5a; 600];
+        datagram[..3].copy_from_slice(b"DF\x01");
+        datagram[3] = driftfront_fleet::Key::parse(driftfront_rig::KEY).unwrap().id();
+        while !done.load(Ordering::Relaxed) && count.load(Ordering::Relaxed) < 400_000 {
+            let _ = socket.send_to(&datagram, target);
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    rig.wait_for(1, "fleet_datagrams_refused{why=\"spoilt\"}", 2_000);
+    for _ in 0..100 {
+        assert!(query(&rig, 1).ends_with("1\n"));
+    }
+    over.store(true, Ordering::Relaxed);
+    flood.join().unwrap();
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+}
+
+#[test]
+fn a_third_of_all_datagrams_lost_and_some_twice_hides_nobody() {
+    let (mut rig, _engine) =
+        rig("members 4\nseed 9\nlink \"all\" \"all\" loss=0.3 repeat=0.2 delay=\"2 ms\" jitter=\"10 ms\"");
+    rig.play();
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    rig.wait_for(0, "fleet_datagrams_refused{why=\"replayed\"}", 3);
+    rig.now("kill \"m3\"");
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+}
+
+#[test]
+fn where_the_settings_bar_talk_a_fleet_is_refused_at_the_start() {
+    let text = include_str!("common/site.json").replace(
+        "\"limits\"",
+        "\"fleet\": {\"listen\": \"127.0.0.1:0\", \"key_file\": \"/nowhere\"}, \"limits\"",
+    );
+    let barred =
+        driftfront::config::Config::read(text.replace("\"clickhouse\",", "\"platform\",").as_bytes());
+    assert!(barred.err().is_some_and(|e| e.contains("bar talk")));
+    assert!(driftfront::config::Config::read(text.as_bytes()).is_ok_and(|c| c.fleet.is_some()));
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,252 @@
+//! Many processes of the real program on loopback, and faults between them: datagrams are lost, late, repeated or cut one
+//! way or both; processes are killed, stopped, woken and started again. The scripts are the lab's, and so are the words.
+//!
+//! Every process has an address that the others know; behind it stands this rig, which knows each sender by where its
+//! datagrams come from, and lets them through, or not, by the link between the two.
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod net;
+pub mod process;
+
+pub use driftfront_lab::script::{Deed, Group, Link, Script};
+pub use net::Net;
+pub use process::{Member, Process};
+
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A wait that long means that the test has failed; nothing is decided by it.
+pub const FOR_EVER: Duration = Duration::from_secs(60);
+
+/// What happened, of all processes, in one order.
+#[derive(Clone, Default)]
+pub struct Log(Arc<Mutex<Vec<(Duration, String)>>>);
+
+impl Log {
+    fn note(&self, begun: Instant, words: String) {
+        if let Ok(mut all) = self.0.lock() {
+            all.push((begun.elapsed(), words));
+        }
+    }
+
+    /// All of it, a line each.
+    pub fn text(&self) -> String {
+        let all = self.0.lock().map(|a| a.clone()).unwrap_or_default();
+        all.iter().map(|(at, words)| format!("{:9.3} s  {words}\n", at.as_secs_f64())).collect()
+    }
+}
+
+/// Processes, and the network between them.
+pub struct Rig {
+    /// The network.
+    pub net: Net,
+    script: Script,
+    binary: PathBuf,
+    folder: PathBuf,
+    engine: String,
+    processes: Vec<Process>,
+    begun: Instant,
+    log: Log,
+}
+
+static RIGS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+
+/// The key of all members.
+pub const KEY: &str = "000102030405060708090a0b0c0d0e0f";
+
+impl Rig {
+    /// Starts a script's members: processes of this program, in front of an engine at this address.
+    pub fn start(binary: &str, engine: &str, script: &str) -> Rig {
+        Rig::of(binary, engine, Script::read(script).expect("a script"))
+    }
+
+    /// The same of a script that is read.
+    pub fn of(binary: &str, engine: &str, script: Script) -> Rig {
+        let n = RIGS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("driftfront-rig-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let net = Net::start(script.members, script.zones, script.seed);
+        let mut rig = Rig {
+            net,
+            processes: Vec::new(),
+            script,
+            binary: binary.into(),
+            engine: engine.into(),
+            folder,
+            begun: Instant::now(),
+            log: Log::default(),
+        };
+        rig.write_key(KEY);
+        for member in 0..rig.script.members {
+            let config = rig.config(member);
+            let process = Process::new(&rig.binary, &rig.folder, member, &config);
+            rig.processes.push(process);
+        }
+        for member in 0..rig.script.members {
+            rig.spawn(member);
+        }
+        rig
+    }
+
+    /// The key file that all read.
+    pub fn write_key(&self, text: &str) {
+        use std::os::unix::fs::PermissionsExt;
+        let path = self.key_file();
+        std::fs::write(&path, format!("{text}\n")).expect("a temporary file");
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o600)).expect("its mode");
+    }
+
+    fn key_file(&self) -> PathBuf {
+        self.folder.join("fleet.key")
+    }
+
+    fn config(&self, member: u32) -> String {
+        let seeds: String =
+            (0..self.script.members.min(3)).map(|m| format!("seed \"{}\"; ", self.net.public(m))).collect();
+        format!(
+            "name \"m{member}\"\nlisten \"127.0.0.1:0\"\ncontrol \"{}\"\n\
+             engines {{ engine \"engine-1\" at=\"{}\" }}\n\
+             fleet listen=\"127.0.0.1:0\" advertise=\"{}\" key-file=\"{}\" zone=\"z{}\" {{ {seeds}}}\n",
+            self.folder.join(format!("m{member}.sock")).display(),
+            self.engine,
+            self.net.public(member),
+            self.key_file().display(),
+            member % self.script.zones,
+        )
+    }
+
+    fn spawn(&mut self, member: u32) {
+        if self.processes[member as usize].runs() {
+            return;
+        }
+        let inner = self.processes[member as usize].start(&self.log, self.begun);
+        self.net.place(member, inner);
+    }
+
+    /// A member's process.
+    pub fn process(&mut self, member: u32) -> &mut Process {
+        &mut self.processes[member as usize]
+    }
+
+    /// Where a member's clients connect.
+    pub fn clients(&self, member: u32) -> std::net::SocketAddr {
+        self.processes[member as usize].clients.expect("it runs")
+    }
+
+    /// What happened so far.
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Does one thing now.
+    pub fn deed(&mut self, deed: &Deed) {
+        self.log.note(self.begun, format!("{deed:?}"));
+        let zones = self.script.zones;
+        let of = |groups: &[Group]| -> Vec<u32> {
+            (0..self.script.members).filter(|&m| groups.iter().any(|g| g.has(m, zones))).collect()
+        };
+        match deed {
+            Deed::Link(from, to, link) => self.net.link(from, to, *link),
+            Deed::Heal => self.net.heal(),
+            Deed::Cut(groups, ways) => self.net.cut(&of(groups), *ways),
+            Deed::Kill(groups) => of(groups).into_iter().for_each(|m| self.process(m).kill()),
+            Deed::Stop(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-STOP")),
+            Deed::Wake(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-CONT")),
+            Deed::Start(groups) => of(groups).into_iter().for_each(|m| self.spawn(m)),
+            Deed::Leave(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-TERM")),
+            // Processes on one machine share its clock; the lab moves clocks.
+            Deed::Clock(..) => {}
+        }
+    }
+
+    /// Does what this one line of a script says.
+    pub fn now(&mut self, line: &str) {
+        let script = Script::read(line).expect("a line of a script");
+        for (_, deed) in &script.deeds {
+            self.deed(deed);
+        }
+    }
+
+    /// Plays the script's deeds, each at its time.
+    pub fn play(&mut self) {
+        for (at, deed) in self.script.deeds.clone() {
+            std::thread::sleep(Duration::from_micros(at).saturating_sub(self.begun.elapsed()));
+            self.deed(&deed);
+        }
+    }
+
+    /// Who a member sees, by its own word; none where it does not answer.
+    pub fn sees(&self, by: u32) -> Vec<Member> {
+        self.processes[by as usize].members()
+    }
+
+    /// Waits until each of these sees just those there, or says what it sees instead.
+    pub fn wait_until_seen(&self, by: &[u32], there: &[u32]) {
+        let since = Instant::now();
+        let mut names: Vec<String> = there.iter().map(|m| format!("m{m}")).collect();
+        names.sort();
+        for &m in by {
+            loop {
+                let seen = self.sees(m);
+                let mut now: Vec<String> =
+                    seen.iter().filter(|s| s.standing != "gone").map(|s| s.name.clone()).collect();
+                now.sort();
+                if now == names {
+                    break;
+                }
+                assert!(since.elapsed() < FOR_EVER, "m{m} sees {seen:?}, not {names:?}\n{}", self.log.text());
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        self.log.note(self.begun, format!("{by:?} see {there:?}"));
+    }
+
+    /// Waits until this holds of what a member sees.
+    pub fn wait(&self, by: u32, what: &str, holds: impl Fn(&[Member]) -> bool) {
+        let since = Instant::now();
+        loop {
+            let seen = self.sees(by);
+            if holds(&seen) {
+                return;
+            }
+            assert!(
+                since.elapsed() < FOR_EVER,
+                "m{by}: {what}: never; it sees {seen:?}\n{}",
+                self.log.text()
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until a member's counter has come this far.
+    pub fn wait_for(&self, member: u32, counter: &str, least: u64) {
+        let since = Instant::now();
+        while self.counter(member, counter) < least {
+            assert!(
+                since.elapsed() < FOR_EVER,
+                "m{member}: {counter} never came to {least}\n{}",
+                self.log.text()
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// A member's counter.
+    pub fn counter(&self, member: u32, name: &str) -> u64 {
+        process::counter(self.clients(member), name).unwrap_or(0)
+    }
+
+    /// The folder of this rig's files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.processes.clear();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/process.rs
@@ -0,0 +1,188 @@
+//! A process of the program, and what it says of itself.
+
+use crate::{Log, FOR_EVER};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+use tinyjson::JsonValue;
+
+/// A member as another sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// `there`, `doubted` or `gone`.
+    pub standing: String,
+    /// What it does, by its own word.
+    pub state: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its build.
+    pub build: String,
+}
+
+/// A process, running or not.
+pub struct Process {
+    binary: PathBuf,
+    config: PathBuf,
+    socket: PathBuf,
+    member: u32,
+    child: Option<Child>,
+    /// Where its clients connect, while it runs.
+    pub clients: Option<SocketAddr>,
+}
+
+impl Process {
+    /// One that is not started yet.
+    pub fn new(binary: &Path, folder: &Path, member: u32, config: &str) -> Process {
+        let path = folder.join(format!("m{member}.kdl"));
+        std::fs::write(&path, config).expect("a temporary file");
+        let socket = folder.join(format!("m{member}.sock"));
+        Process { binary: binary.into(), config: path, socket, member, child: None, clients: None }
+    }
+
+    /// Another build is started from now on.
+    pub fn set_build(&mut self, binary: &Path) {
+        self.binary = binary.into();
+    }
+
+    /// Another file is read from the next start, or SIGHUP, on.
+    pub fn set_config(&mut self, edit: impl Fn(String) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("its file");
+        std::fs::write(&self.config, edit(text)).expect("its file");
+    }
+
+    /// Starts it; where its datagrams come in.
+    pub fn start(&mut self, log: &Log, begun: Instant) -> SocketAddr {
+        let mut command = Command::new(&self.binary);
+        command.args(["serve", "--config"]).arg(&self.config).stderr(Stdio::piped()).stdin(Stdio::null());
+        let mut child = command.spawn().expect("the program starts");
+        let mut lines = BufReader::new(child.stderr.take().expect("piped"));
+        let mut fleet = None;
+        let (member, log) = (self.member, log.clone());
+        let clients = loop {
+            let mut line = String::new();
+            assert!(lines.read_line(&mut line).expect("a log") > 0, "m{member} ended:\n{}", log.text());
+            let after =
+                |word: &str| line.trim().split(word).nth(1).and_then(|a| a.split(' ').next()?.parse().ok());
+            fleet = after("here=").or(fleet);
+            if let Some(addr) = after("listen=") {
+                break addr;
+            }
+        };
+        self.clients = Some(clients);
+        self.child = Some(child);
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+                log.note(begun, format!("m{member} says {}", line.trim()));
+                line.clear();
+            }
+        });
+        fleet.expect("it says where its datagrams come in")
+    }
+
+    /// Whether it runs, or stands still.
+    pub fn runs(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|c| c.try_wait().is_ok_and(|s| s.is_some()));
+        if ended {
+            self.child = None;
+        }
+        !ended
+    }
+
+    /// Ends it as a crash does.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends it a signal, by its id.
+    pub fn signal(&mut self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Waits until it has ended; whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.take().is_some_and(|mut c| c.wait().is_ok_and(|s| s.success()))
+    }
+
+    /// Its resident memory in KB and the processor time that it has used, in clock ticks.
+    pub fn usage(&self) -> (u64, u64) {
+        let Some(id) = self.child.as_ref().map(Child::id) else { return (0, 0) };
+        let text = |name: &str| std::fs::read_to_string(format!("/proc/{id}/{name}")).unwrap_or_default();
+        let status = text("status");
+        let memory =
+            status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok());
+        let stat = text("stat");
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+        (memory.unwrap_or(0), ticks(11) + ticks(12))
+    }
+
+    /// Whom it sees; none where it does not answer at once, as one that is stopped.
+    pub fn members(&self) -> Vec<Member> {
+        self.ask().unwrap_or_default()
+    }
+
+    fn ask(&self) -> Option<Vec<Member>> {
+        let mut stream = UnixStream::connect(&self.socket).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        stream.write_all(b"{\"v\":1,\"id\":1,\"do\":\"snapshot\"}\n").ok()?;
+        let mut lines = BufReader::new(stream);
+        let mut line = String::new();
+        // The greeting, then the answer.
+        lines.read_line(&mut line).ok()?;
+        line.clear();
+        lines.read_line(&mut line).ok()?;
+        let answer: JsonValue = line.parse().ok()?;
+        let field = |v: &JsonValue, name: &str| match v {
+            JsonValue::Object(o) => o.get(name).cloned(),
+            _ => None,
+        };
+        let members = field(&field(&answer, "snapshot")?, "members")?;
+        let JsonValue::Array(members) = members else { return None };
+        let text = |m: &JsonValue, name: &str| match field(m, name) {
+            Some(JsonValue::String(s)) => s,
+            _ => String::new(),
+        };
+        let member = |m: &JsonValue| Member {
+            name: text(m, "name"),
+            standing: text(m, "standing"),
+            state: text(m, "state"),
+            zone: text(m, "zone"),
+            build: text(m, "build"),
+        };
+        Some(members.iter().map(member).collect())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Sends these bytes on a new connection and reads all that comes until its end.
+pub fn call(addr: SocketAddr, bytes: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(addr)?;
+    stream.set_read_timeout(Some(FOR_EVER))?;
+    stream.write_all(bytes.as_bytes())?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// A counter of the program that listens here.
+pub fn counter(addr: SocketAddr, name: &str) -> Option<u64> {
+    let text = call(addr, "GET /counters HTTP/1.1\r\nHost: t\r\nConnection: close\r\n\r\n").ok()?;
+    let line = text.lines().find(|l| l.rsplit_once(' ').is_some_and(|(n, _)| n == name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
