--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -147,6 +147,17 @@
         self.records.range((owner.clone(), 0)..=(owner.clone(), Kind::MAX)).count()
     }
 
+    /// Our session from now on, if it is above the one before: our records are told anew under it.
+    pub fn outdo(&mut self, now: Micros, session: u64, rounds: u32) {
+        if session > self.session {
+            self.session = session;
+            let me = self.me.clone();
+            for (_, r) in self.records.range_mut((me.clone(), 0)..=(me, Kind::MAX)) {
+                (r.session, r.came, r.rounds) = (session, now, rounds);
+            }
+        }
+    }
+
     /// What is known of an owner under a kind.
     pub fn get(&self, now: Micros, owner: &str, kind: Kind) -> Option<Fact<'_>> {
         let place = (Rc::from(owner), kind);
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -60,6 +60,9 @@
         (clock / 1000) << 20 | u64::from(drawn & 0xf_ffff)
     }
 
+    /// Sessions above this are no honest process's, and nobody is led to one: some 70 years from 1970.
+    pub const SESSION_MOST: u64 = 1 << 61;
+
     /// Somebody unknown at an address.
     pub fn at(addr: SocketAddr) -> Identity {
         Identity { name: String::new(), addr, session: 0, back: 0 }
@@ -200,13 +203,17 @@
     /// We were called down, or all others are: more likely it is us who could not be heard. What we hold against others
     /// is dropped, so that once we are heard again we accuse nobody; those that are there stay, doubted by none.
     fn start_over(&mut self, now: Micros, sends: &mut Vec<(Identity, Vec<u8>)>) {
+        let me = foca::Identity::renew(self.me()).unwrap_or_else(|| self.me().clone());
+        self.start_over_as(now, me, sends);
+    }
+
+    fn start_over_as(&mut self, now: Micros, me: Identity, sends: &mut Vec<(Identity, Vec<u8>)>) {
         // Those that are doubted are asked anew.
         let keep: Vec<Member<Identity>> = self
             .foca
             .iter_members()
             .map(|m| Member::new(m.id().clone(), m.incarnation(), foca::State::Alive))
             .collect();
-        let me = foca::Identity::renew(self.me()).unwrap_or_else(|| self.me().clone());
         self.starts_over += 1;
         self.timers.clear();
         self.foca = Foca::new(me, config(), SmallRng::from_rng(&mut self.rng), Codec(PostcardCodec));
@@ -302,6 +309,26 @@
         self.work(now, out, ch, |foca, runtime| foca.leave_cluster(runtime));
     }
 
+    /// Who sent this datagram, and the session of a later process of its name that we know, if it is behind that: its clock
+    /// was set back, and those who remember that other one would not let it in.
+    pub fn behind(&self, bytes: &[u8]) -> Option<(Identity, u64)> {
+        let header: Header<Identity> = foca::Codec::decode_header(&mut Codec(PostcardCodec), bytes).ok()?;
+        let there = self.there().filter(|m| m.name == header.src.name).map(|m| m.session);
+        let gone = self.gone.get(&header.src.name).map(|g| g.0.session);
+        let known = there.chain(gone).max().filter(|&known| known > header.src.session)?;
+        Some((header.src, known))
+    }
+
+    /// An earlier process of our name had this session: ours is made to be above it. False where that can't be.
+    pub fn outdo(&mut self, now: Micros, session: u64, out: &mut Vec<(Identity, Vec<u8>)>) -> bool {
+        if session <= self.me().session || session >= Identity::SESSION_MOST {
+            return false;
+        }
+        let me = Identity { session: session + 1, back: 0, ..self.me().clone() };
+        self.start_over_as(now, me, out);
+        true
+    }
+
     /// A datagram has come.
     pub fn take(
         &mut self,
--- a/crates/fleet/src/seal.rs
+++ b/crates/fleet/src/seal.rs
@@ -44,6 +44,8 @@
     Facts,
     /// Versions of records.
     Digest,
+    /// To a member whose session is not above that of an earlier process of its name: which that was.
+    Behind,
     /// Of a later build: counted and let go.
     Unknown(u8),
 }
@@ -54,6 +56,7 @@
             Payload::Members => 1,
             Payload::Facts => 2,
             Payload::Digest => 3,
+            Payload::Behind => 4,
             Payload::Unknown(code) => code,
         }
     }
@@ -63,6 +66,7 @@
             1 => Payload::Members,
             2 => Payload::Facts,
             3 => Payload::Digest,
+            4 => Payload::Behind,
             other => Payload::Unknown(other),
         }
     }
@@ -219,6 +223,11 @@
         Seal { keys, session: session.max(1), count: 0, seen: BTreeMap::new(), taken: 0, forgotten: 0 }
     }
 
+    /// Another session from now on: what was meant for the one before is of no use any more.
+    pub fn change_session(&mut self, session: u64) {
+        self.session = session.max(1);
+    }
+
     /// Other keys from now on.
     pub fn change_keys(&mut self, keys: Keyring) {
         self.keys = keys;
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -23,6 +23,8 @@
 /// Nobody else is there: a seed is asked this often. Else one of the seeds that is not, in case we are cut apart.
 const JOIN: Micros = 500_000;
 const REJOIN: Micros = 5_000_000;
+/// Who is behind an earlier process of its name is told so this often at most.
+const BEHIND: Micros = 50_000;
 /// Who is there is looked at for ageing facts this often.
 const LOOK: Micros = 500_000;
 /// What a member sends in a second at most, whatever the size of the fleet, and saved up at most; a bucket for membership
@@ -84,6 +86,8 @@
     pub backs: u64,
     /// How often we dropped what we held against others, as it was more likely us.
     pub starts_over: u64,
+    /// How often our session was behind that of an earlier process of our name.
+    pub outdone: u64,
     /// How often this process was held up.
     pub stumbles: u64,
     /// Datagrams of members that could not be used.
@@ -153,6 +157,7 @@
     next_compare: Micros,
     next_join: Micros,
     next_look: Micros,
+    next_behind: Micros,
     counters: Counters,
     left: bool,
 }
@@ -180,6 +185,7 @@
             next_round: now + rng.random_range(0..ROUND),
             next_compare: now + rng.random_range(0..COMPARE),
             next_look: now,
+            next_behind: now,
             rng,
             counters: Counters::default(),
             left: false,
@@ -214,8 +220,18 @@
         let (bytes, from) = (opened.bytes, opened.session);
         match opened.payload {
             Payload::Members => {
+                if let Some((sender, known)) =
+                    self.members.behind(bytes).filter(|_| self.may_tell_behind(now))
+                {
+                    self.send(now, &sender, Payload::Behind, &known.to_be_bytes());
+                }
                 self.with_members(now, |members, out, changes| members.take(now, bytes, out, changes));
             }
+            Payload::Behind => {
+                if let Ok(known) = bytes.try_into() {
+                    self.outdo(now, u64::from_be_bytes(known));
+                }
+            }
             Payload::Facts => {
                 let rounds = self.rounds();
                 self.facts.take(now, bytes, rounds);
@@ -363,6 +379,28 @@
         }
     }
 
+    /// Told to one sender after another, not to each of its datagrams.
+    fn may_tell_behind(&mut self, now: Micros) -> bool {
+        let may = now >= self.next_behind;
+        if may {
+            self.next_behind = now + BEHIND;
+        }
+        may
+    }
+
+    /// An earlier process of our name had a later session, as our clock was set back: ours is made to be above it.
+    fn outdo(&mut self, now: Micros, session: u64) {
+        let mut done = false;
+        self.with_members(now, |members, out, _| done = members.outdo(now, session, out));
+        if done {
+            self.counters.outdone += 1;
+            let (session, rounds) = (self.me().session, self.rounds());
+            self.seal.change_session(session);
+            self.facts.outdo(now, session, rounds);
+            self.next_join = now;
+        }
+    }
+
     /// Rounds for which news is passed on.
     fn rounds(&self) -> u32 {
         ROUNDS + (self.members.others() as u32 + 1).ilog2()
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -198,7 +198,22 @@
         let before = sums(&world, members).0;
         match world.play(until, |w| w.time() > quiet && w.agree(&all)) {
             true => took.push(world.time() - quiet),
-            false => never.push(seed),
+            false => {
+                never.push(seed);
+                for (at, deed) in &driftfront_lab::storm::storm(members, seed, true).deeds {
+                    println!("  seed {seed}: {:6.2} s {deed:?}", *at as f64 / 1e6);
+                }
+                for by in 0..members {
+                    let odd: Vec<String> = (0..members)
+                        .filter(|&of| of != by && world.standing(by, of) != Some(Standing::Alive))
+                        .map(|of| format!("m{of} {:?}", world.standing(by, of)))
+                        .collect();
+                    println!(
+                        "  seed {seed}: m{by} sees {}",
+                        if odd.is_empty() { "all".into() } else { odd.join(", ") }
+                    );
+                }
+            }
         }
         let seconds = ((world.time() - quiet) / S).max(1) * u64::from(members);
         most_sent = most_sent.max((sums(&world, members).0 - before) / seconds);
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -179,3 +179,28 @@
     }
     assert!(a_second[1] < 2.0 * a_second[0] && a_second[1] < 60.0, "{a_second:?}");
 }
+
+#[test]
+fn who_is_started_again_with_its_clock_set_back_is_let_in_all_the_same() {
+    let script =
+        "at \"5 s\" { clock \"m3\" by=\"-900 s\" }\nat \"8 s\" { kill \"m3\" }\nat \"14 s\" { start \"m3\" }";
+    let mut w = world(&format!("members 8\nseed 4\n{script}"));
+    assert!(w.play(5 * S, |w| w.agree(&all(8))));
+    w.play(14 * S, |_| false);
+    assert_eq!(w.standing(0, 3), Some(Standing::Down));
+    assert!(w.play(19 * S, |w| w.time() > 14 * S && w.agree(&all(8))));
+    // What it tells now counts, too.
+    assert!(w.fleet(3).unwrap().tell(9, b"anew"));
+    w.play(21 * S, |_| false);
+    assert!((0..8).all(|m| w.fleet(m).unwrap().fact("m3", 9).is_some()));
+}
+
+#[test]
+fn storms_drawn_by_their_seeds_leave_one_view_behind() {
+    for seed in 1..=25 {
+        let mut w = World::new(driftfront_lab::storm::storm(6, seed, true));
+        w.play(driftfront_lab::storm::QUIET, |_| false);
+        let until = driftfront_lab::storm::QUIET + driftfront_lab::storm::OWED;
+        assert!(w.play(until, |w| w.agree(&all(6))), "seed {seed}");
+    }
+}
--- a/crates/node/src/node/fleet.rs
+++ b/crates/node/src/node/fleet.rs
@@ -239,6 +239,7 @@
             ("members_down", c.downs),
             ("came_back", c.backs),
             ("started_over", c.starts_over),
+            ("sessions_outdone", c.outdone),
             ("stumbles", c.stumbles),
             ("doubt", u64::from(fleet.unit.doubt())),
             ("turns_cut_short", fleet.cut_short),
