A fleet's time no longer stands still where nobody is heard; bound on members; later builds

Cause: pace.rs, clock_at, and node/fleet.rs, tend_fleet: timers were looked at only when the next was due. At doubt 2 the next is 0.3 s away, a look after more than 0.25 s passes for a stumble, doubt grows to 7, and its time goes on by 12 ms a look.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -14,11 +14,15 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
+use std::rc::Rc;
 use std::time::Duration;
 
+/// Members known at once, gone ones among them; a datagram that tells of more is not read.
+pub const MEMBERS_MOST: usize = 1024;
 /// Longest name of a member, in bytes.
 pub const NAME_MOST: usize = 48;
 /// One member is probed in this time, by each.
@@ -82,8 +86,11 @@
     }
 }
 
-/// `foca`'s own form, with a bound on names.
-struct Codec(PostcardCodec);
+/// Names that are known, those of the gone among them.
+type Names = Rc<RefCell<BTreeSet<String>>>;
+
+/// `foca`'s own form, with bounds on names and on how many there are: who holds the key could tell of any number.
+struct Codec(PostcardCodec, Names);
 
 /// Why a datagram of members is not read.
 #[derive(Debug)]
@@ -105,6 +112,14 @@
     (id.name.len() <= NAME_MOST).then_some(()).ok_or_else(|| Unreadable("a name too long".into()))
 }
 
+impl Codec {
+    fn room(&self, id: &Identity) -> Result<(), Unreadable> {
+        let names = self.1.borrow();
+        let fits = names.len() < MEMBERS_MOST || names.contains(&id.name);
+        fits.then_some(()).ok_or_else(|| Unreadable("too many members".into()))
+    }
+}
+
 impl foca::Codec<Identity> for Codec {
     type Error = Unreadable;
     fn encode_header(&mut self, header: &Header<Identity>, buf: impl BufMut) -> Result<(), Unreadable> {
@@ -113,6 +128,7 @@
     fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Identity>, Unreadable> {
         let header: Header<Identity> = self.0.decode_header(buf).map_err(unreadable)?;
         bounded(&header.src).and_then(|()| bounded(&header.dst))?;
+        self.room(&header.src)?;
         Ok(header)
     }
     fn encode_member(&mut self, member: &Member<Identity>, buf: impl BufMut) -> Result<(), Unreadable> {
@@ -121,6 +137,7 @@
     fn decode_member(&mut self, buf: impl Buf) -> Result<Member<Identity>, Unreadable> {
         let member: Member<Identity> = self.0.decode_member(buf).map_err(unreadable)?;
         bounded(member.id())?;
+        self.room(member.id())?;
         Ok(member)
     }
 }
@@ -158,6 +175,7 @@
     since: BTreeMap<u64, Micros>,
     /// Who went down, by name, and when.
     gone: BTreeMap<String, (Identity, Micros)>,
+    names: Names,
     rng: SmallRng,
     /// How often we dropped what we held against others.
     pub starts_over: u64,
@@ -188,8 +206,10 @@
     /// Ourselves alone.
     pub fn new(me: Identity, seed: u64) -> Members {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let names = Names::default();
         Members {
-            foca: Foca::new(me, config(), SmallRng::from_rng(&mut rng), Codec(PostcardCodec)),
+            foca: Foca::new(me, config(), SmallRng::from_rng(&mut rng), Codec(PostcardCodec, names.clone())),
+            names,
             rng,
             timers: BTreeMap::new(),
             order: 0,
@@ -216,7 +236,8 @@
             .collect();
         self.starts_over += 1;
         self.timers.clear();
-        self.foca = Foca::new(me, config(), SmallRng::from_rng(&mut self.rng), Codec(PostcardCodec));
+        let codec = Codec(PostcardCodec, self.names.clone());
+        self.foca = Foca::new(me, config(), SmallRng::from_rng(&mut self.rng), codec);
         // That they are there is no news.
         self.run(now, sends, &mut Vec::new(), |foca, runtime| {
             foca.apply_many(keep.into_iter(), false, runtime)
@@ -273,6 +294,7 @@
                 Change::Up(who) => {
                     self.since.insert(who.session, now);
                     self.gone.remove(&who.name);
+                    self.names.borrow_mut().insert(who.name.clone());
                 }
                 Change::Down(who) => {
                     doubt |= self.foca.num_members() == 0;
@@ -287,9 +309,11 @@
         while self.since.len() > SINCE_MOST {
             self.since.pop_first();
         }
-        self.gone.retain(|_, g| now < g.1 + FORGET_DOWN.as_micros() as Micros);
-        while self.gone.len() > SINCE_MOST {
-            self.gone.pop_first();
+        let forget = now.saturating_sub(FORGET_DOWN.as_micros() as Micros);
+        if self.gone.values().any(|g| g.1 < forget) {
+            self.gone.retain(|_, g| g.1 >= forget);
+            let there = self.foca.iter_members().map(|m| m.id().name.clone());
+            *self.names.borrow_mut() = there.chain(self.gone.keys().cloned()).collect();
         }
     }
 
@@ -312,7 +336,8 @@
     /// Who sent this datagram, and the session of a later process of its name that we know, if it is behind that: its clock
     /// was set back, and those who remember that other one would not let it in.
     pub fn behind(&self, bytes: &[u8]) -> Option<(Identity, u64)> {
-        let header: Header<Identity> = foca::Codec::decode_header(&mut Codec(PostcardCodec), bytes).ok()?;
+        let header: Header<Identity> =
+            foca::Codec::decode_header(&mut Codec(PostcardCodec, self.names.clone()), bytes).ok()?;
         let there = self.there().filter(|m| m.name == header.src.name).map(|m| m.session);
         let gone = self.gone.get(&header.src.name).map(|g| g.0.session);
         let known = there.chain(gone).max().filter(|&known| known > header.src.session)?;
@@ -379,3 +404,30 @@
         self.foca.num_members()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn id(name: &str, port: u16) -> Identity {
+        Identity { name: name.into(), addr: SocketAddr::from(([127, 0, 0, 1], port)), session: 5, back: 0 }
+    }
+
+    #[test]
+    fn there_is_a_bound_on_members_and_who_is_known_is_heard_beyond_it() {
+        let (mut me, mut out, mut changes) = (Members::new(id("me", 1), 1), Vec::new(), Vec::new());
+        // Each sends one datagram of its own: it asks to be let in.
+        let mut ask = |me: &mut Members, name: &str, port: u16| {
+            let mut other = Members::new(id(name, port), 2);
+            let mut sends = Vec::new();
+            other.join(0, me.me().addr, &mut sends, &mut Vec::new());
+            me.take(0, &sends[0].1, &mut out, &mut changes);
+        };
+        for n in 0..MEMBERS_MOST + 10 {
+            ask(&mut me, &format!("m{n}"), n as u16 + 2);
+        }
+        assert_eq!((me.others(), me.unreadable), (MEMBERS_MOST, 10));
+        ask(&mut me, "m3", 5);
+        assert_eq!(me.unreadable, 10);
+    }
+}
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -53,9 +53,11 @@
         (self.doubt, self.since) = ((self.doubt + 1).min(DOUBT_MOST), clock);
     }
 
-    /// The clock at which this fleet's time comes, if nothing holds it up.
+    /// The clock at which to look next, for this time of the fleet's: when it comes, but soon enough that a look which
+    /// comes late shows that the process was held up, not that nobody wanted to look.
     pub fn clock_at(&self, time: Micros) -> Option<Micros> {
-        Some(self.last? + time.saturating_sub(self.now) * u64::from(1 + self.doubt))
+        let after = time.saturating_sub(self.now) * u64::from(1 + self.doubt);
+        Some(self.last? + after.min(STEP_MOST / 2))
     }
 
     /// The fleet's time at the last look.
@@ -95,6 +97,7 @@
         clock += 25_000;
         assert_eq!(pace.look(clock), 1_062_500);
         assert_eq!(pace.clock_at(1_072_500), Some(clock + 20_000));
+        assert_eq!(pace.clock_at(9_000_000), Some(clock + 50_000));
         for _ in 0..100 {
             clock += 25_000;
             pace.look(clock);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use std::process::ExitCode;
 
-const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N]
+const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N] [--late]
     a member is killed after 20 s and the rest watched for 20 s more: how long until all know, who was called down
     though it was there, and what each sends
 driftfront-lab storm [--members N] [--runs K] [--seed N]
@@ -29,6 +29,7 @@
     let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: f64| {
         args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
     };
+    let verbose = args.contains("--late");
     let n = number(&mut args, "--members", 24.0)? as u32;
     let runs = number(&mut args, "--runs", 20.0)? as u64;
     let loss = number(&mut args, "--loss", 0.0)?;
@@ -59,6 +60,20 @@
             .map(|s| s.at - 20 * S)
             .collect();
         knew.sort_unstable();
+        // What became of a witness that came late: the next question is always how.
+        for by in world.living().into_iter().filter(|_| verbose) {
+            let of_it: Vec<_> =
+                world.seen.iter().filter(|s| s.by == by && s.of == victim && s.at > 18 * S).collect();
+            let late = of_it.last().is_none_or(|s| s.at > 26 * S || s.standing != Some(Standing::Down));
+            for s in of_it.iter().filter(|_| late) {
+                println!(
+                    "  seed {}: {:.2} s m{by} sees m{victim} {:?}",
+                    seed + run,
+                    s.at as f64 / 1e6,
+                    s.standing
+                );
+            }
+        }
         first.extend(knew.first());
         all.extend(knew.last());
         let gone = (0..n).filter(|&by| by != victim && world.standing(by, victim) != Some(Standing::Down));
--- a/crates/node/src/node/fleet.rs
+++ b/crates/node/src/node/fleet.rs
@@ -148,9 +148,8 @@
             fleet.unit.tell_about(&fleet.about);
         }
         let clock = fleet.clock();
-        if clock >= fleet.unit.next_due() {
-            fleet.unit.tick(clock);
-        }
+        // With each sweep: what is looked at seldom can't be told from what is held up.
+        fleet.unit.tick(clock);
         self.fleet_sends();
     }
 
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -1,5 +1,7 @@
 //! Several processes of the program with faults between them. Waits are for what they say they see.
 
+use driftfront_fleet::seal::{Payload, Seal};
+use driftfront_fleet::{About, Fleet, Identity, Key, Keyring};
 use driftfront_rig::process::call;
 use driftfront_rig::Rig;
 use standins::engine::{Engine, Options};
@@ -129,7 +131,7 @@
         // Of this language, of its usual length, under the key that is in use by its name, but sealed with nothing.
         let mut datagram = vec![0x5a; 600];
         datagram[..3].copy_from_slice(b"DF\x01");
-        datagram[3] = driftfront_fleet::Key::parse(driftfront_rig::KEY).unwrap().id();
+        datagram[3] = Key::parse(driftfront_rig::KEY).unwrap().id();
         while !done.load(Ordering::Relaxed) && count.load(Ordering::Relaxed) < 400_000 {
             let _ = socket.send_to(&datagram, target);
             count.fetch_add(1, Ordering::Relaxed);
@@ -166,3 +168,45 @@
     assert!(barred.err().is_some_and(|e| e.contains("bar talk")));
     assert!(driftfront::config::Config::read(text.as_bytes()).is_ok_and(|c| c.fleet.is_some()));
 }
+
+#[test]
+fn a_member_of_a_later_build_is_let_in_and_what_it_adds_is_passed_on_or_counted() {
+    let (rig, _engine) = rig("members 3");
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+    // A member with the units themselves, that speaks a little more than this build knows.
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(std::time::Duration::from_millis(10))).unwrap();
+    let me = Identity { name: "later".into(), addr: socket.local_addr().unwrap(), session: 1 << 50, back: 0 };
+    let keys = || Keyring::of(Key::parse(driftfront_rig::KEY).unwrap());
+    let about = About { build: "9.9.9".into(), ..About::default() };
+    let seeds = vec![rig.net.public(0)];
+    let begun = std::time::Instant::now();
+    let mut later =
+        Fleet::new(0, driftfront_fleet::Options { me, about: about.clone(), keys: keys(), seeds, seed: 3 });
+    // A field in its record, a kind of record and a kind of payload that nobody here has heard of.
+    let mut record = about.write();
+    record.extend([77, 2, 1, 2]);
+    assert!(later.tell(1, &record) && later.tell(999, b"of a later build"));
+    let mut seal = Seal::new(keys(), 1 << 51);
+    let unknown = seal.seal(Payload::Unknown(200), b"whatever", 0).unwrap();
+    let mut bytes = [0; 2048];
+    let mut told = false;
+    let seen =
+        |m: u32| rig.sees(m).iter().any(|s| s.name == "later" && s.standing == "there" && s.build == "9.9.9");
+    while !(0..3).all(seen) || !told {
+        assert!(begun.elapsed() < driftfront_rig::FOR_EVER);
+        while let Ok(n) = socket.recv(&mut bytes) {
+            later.take(begun.elapsed().as_micros() as u64, &bytes[..n]);
+        }
+        later.tick(begun.elapsed().as_micros() as u64);
+        while let Some((to, datagram)) = later.to_send() {
+            let _ = socket.send_to(&datagram, to);
+        }
+        if !told && later.others() == 3 {
+            told = true;
+            let _ = socket.send_to(&unknown, rig.net.public(1));
+        }
+    }
+    rig.wait_for(1, "fleet_datagrams_unknown_kind", 1);
+    assert!((0..3).all(|m| rig.counter(m, "fleet_facts_refused") == 0));
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,13 +5,46 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-const USAGE: &str = "driftfront-rig --binary PATH [--members N] [--runs K] [--seed N]
+const USAGE: &str = "driftfront-rig --binary PATH --cost [--members N] [--seconds S]
+    what the fleet costs processes that have nothing else to do
+driftfront-rig --binary PATH [--members N] [--runs K] [--seed N]
     each run starts N processes, draws a storm by its seed and plays it; a run that does not come to one view is named";
 
 fn value(args: &[String], name: &str) -> Option<String> {
     args.iter().position(|a| a == name).and_then(|n| args.get(n + 1)).cloned()
 }
 
+/// What the fleet costs each process that has nothing else to do.
+fn cost(binary: &str, members: u32, seconds: u64) {
+    let script = format!("members {members}");
+    let mut rig = Rig::start(binary, "127.0.0.1:9", &script);
+    let all: Vec<u32> = (0..members).collect();
+    rig.wait_until_seen(&all, &all);
+    let sum = |rig: &mut Rig| {
+        let mut sum = [0u64; 4];
+        for m in 0..members {
+            let (memory, ticks) = rig.process(m).usage();
+            let counts =
+                [ticks, rig.counter(m, "fleet_datagrams_sent"), rig.counter(m, "fleet_bytes_sent"), memory];
+            sum.iter_mut().zip(counts).for_each(|(sum, n)| *sum += n);
+        }
+        sum
+    };
+    let before = sum(&mut rig);
+    std::thread::sleep(Duration::from_secs(seconds));
+    let after = sum(&mut rig);
+    let each = |n: usize| (after[n] - before[n]) as f64 / seconds as f64 / f64::from(members);
+    let longest = (0..members).map(|m| rig.counter(m, "fleet_turn_longest_us")).max().unwrap_or(0);
+    println!(
+        "processes {members}: each {:.1} ms of processor, {:.1} datagrams, {:.0} bytes a second, {:.1} MB resident; \
+         longest turn {longest} µs",
+        each(0) * 10.0,
+        each(1),
+        each(2),
+        after[3] as f64 / 1024.0 / f64::from(members)
+    );
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let Some(binary) = value(&args, "--binary") else {
@@ -21,6 +54,10 @@
     let number =
         |name: &str, otherwise: u64| value(&args, name).and_then(|v| v.parse().ok()).unwrap_or(otherwise);
     let (members, runs, first) = (number("--members", 5) as u32, number("--runs", 3), number("--seed", 1));
+    if args.iter().any(|a| a == "--cost") {
+        cost(&binary, members, number("--seconds", 20));
+        return ExitCode::SUCCESS;
+    }
     let all: Vec<String> = (0..members).map(|m| format!("m{m}")).collect();
     let (mut took, mut never): (Vec<Duration>, Vec<u64>) = (Vec::new(), Vec::new());
     for seed in first..first + runs {
@@ -45,6 +82,15 @@
             if quiet.elapsed() > owed {
                 never.push(seed);
                 eprintln!("seed {seed}:\n{}", rig.log().text());
+                for m in 0..members {
+                    let seen: Vec<String> =
+                        rig.sees(m).into_iter().map(|s| format!("{} {}", s.name, s.standing)).collect();
+                    eprintln!(
+                        "  m{m} sees {}; came back {}",
+                        seen.join(", "),
+                        rig.counter(m, "fleet_came_back")
+                    );
+                }
                 break;
             }
             std::thread::sleep(Duration::from_millis(50));
