--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -20,17 +20,15 @@
         if self.names.contains_key(&request.ask.call) {
             return self.fail(id);
         }
-        let (class, token) = (request.ask.class, request.ask.token.clone());
-        let known_until = self.tokens.good_until(class, token.as_ref());
+        let ask = &request.ask;
+        let known_until = self.tokens.good_until(ask.class, ask.token.as_ref());
         if known_until.is_some_and(|t| now >= t) {
             // What runs under its word may be running or done, and engines would take it for new.
             self.counters.tokens_late += 1;
-            return self.fail_saying(id, TOKEN_LATE);
+            return self.fail_saying(id, Some(TOKEN_LATE.into()));
         }
-        self.tokens.taken(class, token.as_ref(), request.deadline);
-        let Some(request) = self.requests.get(&id) else { return };
-        self.names.insert(request.ask.call.clone(), id);
-        let ask = &request.ask;
+        self.tokens.taken(ask.class, ask.token.as_ref(), request.deadline);
+        self.names.insert(ask.call.clone(), id);
         let query = Query {
             id: crate::query(id),
             class: ask.class,
@@ -45,7 +43,7 @@
             budget: ask.budget,
         };
         self.counters.tenants_unnamed += u64::from(self.has_tenants && ask.tenant.is_none());
-        self.counters.tokens_missing += u64::from(self.tokens.is_keyed(class) && token.is_none());
+        self.counters.tokens_missing += u64::from(!query.token && self.tokens.is_keyed(query.class));
         // The module answers in time by itself; this guards the promise should it ever not.
         let last = request.deadline.saturating_sub(self.limits.answer_margin);
         self.set_timer(last, Due::Answer(id));
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -135,10 +135,8 @@
         };
         let ids: Vec<RequestId> = self.requests.iter().filter(|r| stranded(r.1)).map(|r| *r.0).collect();
         for id in ids {
-            if let Some(request) = self.requests.get_mut(&id) {
-                request.words = request.ask.lost.clone();
-            }
-            self.fail(id);
+            let words = self.requests.get(&id).and_then(|r| r.ask.lost.clone());
+            self.fail_saying(id, words);
             self.tell(now, Event::ClientGone(crate::query(id)));
         }
     }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -2,6 +2,7 @@
 
 use crate::{AttemptKey, Command, Core, Piece, Progress, RequestId};
 use fernlink::interface::{Event, Micros, Outcome};
+use std::rc::Rc;
 
 impl Core {
     /// A piece of an attempt's answer, to be passed on. From here on the request is tied to the attempt.
@@ -39,9 +40,10 @@
         self.drop_if_over(id);
     }
 
-    pub(crate) fn fail_saying(&mut self, id: RequestId, words: &str) {
+    /// Fails with these words in place of an engine's.
+    pub(crate) fn fail_saying(&mut self, id: RequestId, words: Option<Rc<str>>) {
         if let Some(request) = self.requests.get_mut(&id) {
-            request.words = Some(words.into());
+            request.words = words;
         }
         self.fail(id);
     }
--- a/crates/core/src/running.rs
+++ b/crates/core/src/running.rs
@@ -90,8 +90,7 @@
 
     /// An attempt's engine, and when it was sent.
     pub fn sent(&self, key: AttemptKey) -> Option<(EngineId, Micros)> {
-        let attempt = self.requests.get(&key.request)?.attempts.get(usize::from(key.number))?;
-        Some((attempt.engine, attempt.sent))
+        self.made(key).map(|a| (a.engine, a.sent))
     }
 
     /// A client wants the query of this name ended: no further attempt is made, and if none is out it ends at once
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -195,8 +195,12 @@
 
     /// Whether an attempt still waits for its end.
     pub fn is_out(&self, key: AttemptKey) -> bool {
-        let attempts = self.requests.get(&key.request).map(|r| &r.attempts);
-        attempts.and_then(|a| a.get(usize::from(key.number))).is_some_and(|a| a.outcome.is_none())
+        self.made(key).is_some_and(|a| a.outcome.is_none())
+    }
+
+    /// An attempt of a request that is not over, whether it is out or has ended.
+    pub(crate) fn made(&self, key: AttemptKey) -> Option<&Attempt> {
+        self.requests.get(&key.request)?.attempts.get(usize::from(key.number))
     }
 
     /// Asked right before an attempt's first byte: how long it may take, or `None` if it must not go.
@@ -245,8 +249,7 @@
 
     /// Memory that an attempt is granted, MB; 0 leaves it to the engine.
     pub fn grant_mb(&self, key: AttemptKey) -> f64 {
-        let attempts = self.requests.get(&key.request).map(|r| &r.attempts);
-        attempts.and_then(|a| a.get(usize::from(key.number))).map_or(0.0, |a| a.grant_mb)
+        self.made(key).map_or(0.0, |a| a.grant_mb)
     }
 
     /// An attempt ended without serving. Where its engine has to hear of that first, it ends a little later; `None`
@@ -346,17 +349,12 @@
         let Some(attempt) = self.out(key) else { return };
         attempt.outcome = Some(outcome);
         let Told { report, work, memory_mb } = std::mem::take(&mut attempt.told);
-        if let (true, Some(request)) = (outcome.never_ran(), self.requests.get(&key.request)) {
-            if let Some(token) = &request.ask.token {
+        let (doubt, engine, spent) = (attempt.in_doubt(), attempt.engine, now.saturating_sub(attempt.sent));
+        if outcome.never_ran() {
+            if let Some(token) = self.requests.get(&key.request).and_then(|r| r.ask.token.as_ref()) {
                 self.tokens.never_ran(token, key);
             }
         }
-        let Some(attempt) =
-            self.requests.get(&key.request).and_then(|r| r.attempts.get(usize::from(key.number)))
-        else {
-            return;
-        };
-        let (doubt, engine, spent) = (attempt.in_doubt(), attempt.engine, now.saturating_sub(attempt.sent));
         if doubt {
             self.remember(now, key, engine);
         }
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,30 @@
+//! A core on the example's settings, for all tests of it.
+#![allow(dead_code)]
+
+use driftfront_core::{Core, EngineId, Limits, Listed, Phase};
+use driftfront_settings::json::{parse, Json};
+use fernlink::interface::Settings;
+
+pub const S: u64 = 1_000_000;
+/// Classes of the example.
+pub const LOOKUP: u16 = 0;
+pub const LOAD: u16 = 2;
+
+pub const LIMITS: Limits =
+    Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each: true };
+
+/// The example's settings, with another text in places.
+pub fn settings(edit: impl FnOnce(&str) -> String) -> Settings {
+    let text = edit(include_str!("../../../node/tests/common/site.json"));
+    let json = parse(text.as_bytes()).expect("the example is JSON");
+    driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings")
+}
+
+pub fn core(settings: Settings, limits: Limits) -> Core {
+    Core::new(settings, limits, 7)
+}
+
+/// An engine's line of a list.
+pub fn listed(engine: u64, phase: Phase) -> Listed {
+    Listed { engine: EngineId(engine), zone: 0, kind: 0, cell: 0, phase, born: None }
+}
--- a/crates/core/tests/keyed.rs
+++ b/crates/core/tests/keyed.rs
@@ -1,16 +1,13 @@
 //! What a second deployment's settings bring: keyed classes, memory grants, attempts that may be called off, and
 //! engines that tell what a query cost.
 
-use driftfront_core::{
-    Ask, AttemptKey, Cause, Command, Core, EngineId, Limits, ListKind, Listed, Phase, Progress, RequestId,
-};
-use driftfront_settings::json::{parse, Json};
+mod common;
+
+use common::{core, listed, settings, LIMITS, LOAD, LOOKUP, S};
+use driftfront_core::{Ask, AttemptKey, Cause, Command, Core, ListKind, Listed, Phase, Progress, RequestId};
 use std::rc::Rc;
 
-const S: u64 = 1_000_000;
 const MS: u64 = 1_000;
-const LOOKUP: u16 = 0;
-const LOAD: u16 = 2;
 
 struct Rig {
     core: Core,
@@ -29,18 +26,16 @@
 
 impl Rig {
     fn new(engines: u64) -> Rig {
-        let text = include_str!("../../node/tests/common/site.json")
-            .replace("\"single_shot\"", "\"guarded\", \"KeyScope\": \"all\", \"RepeatWindowUs\": 12000000")
+        let settings = settings(|text| {
+            text.replace(
+                "\"single_shot\"",
+                "\"guarded\", \"KeyScope\": \"all\", \"RepeatWindowUs\": 12000000",
+            )
             .replace("\"Cancel\": false", "\"Cancel\": true")
-            .replace("\"SizeCores\"", "\"GrantsCount\": true, \"SaysCost\": true, \"SizeCores\"");
-        let json = parse(text.as_bytes()).expect("the example is JSON");
-        let settings = driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
-        let limits =
-            Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each: true };
-        let mut rig = Rig { core: Core::new(settings, limits, 7), now: 1000 * S, asked: 0 };
-        let line =
-            |n| Listed { engine: EngineId(n), zone: 0, kind: 0, cell: 0, phase: Phase::Ready, born: None };
-        let lines: Vec<Listed> = (1..=engines).map(line).collect();
+            .replace("\"SizeCores\"", "\"GrantsCount\": true, \"SaysCost\": true, \"SizeCores\"")
+        });
+        let mut rig = Rig { core: core(settings, LIMITS), now: 1000 * S, asked: 0 };
+        let lines: Vec<Listed> = (1..=engines).map(|n| listed(n, Phase::Ready)).collect();
         rig.core.engines(rig.now, ListKind::Whole, &lines);
         rig.commands();
         rig
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -1,18 +1,18 @@
 //! Random steps against a model of what a coordinator owes: one final answer for each request, the rules
 //! of its class for each attempt, and an order for each key.
 
+mod common;
+
+use common::{core, listed, settings, LIMITS, LOAD, LOOKUP};
 use driftfront_core::{
     Ask, AttemptKey, Cause, Command, Core, EngineId, Fate, Limits, ListKind, Listed, Micros, Phase, Piece,
     Pin, Progress, RequestId,
 };
-use driftfront_settings::json::{parse, Json};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 const ENGINES: u64 = 3;
-const LOOKUP: u16 = 0;
-const LOAD: u16 = 2;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -120,13 +120,8 @@
 
 impl Model {
     fn new() -> Model {
-        let text = include_bytes!("../../node/tests/common/site.json");
-        let json = parse(text).expect("the example is JSON");
-        let settings = driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
-        let limits =
-            Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 8, tells_each: true };
         let mut model = Model {
-            core: Core::new(settings, limits, 7),
+            core: core(settings(str::to_string), Limits { doubts: 8, ..LIMITS }),
             now: 1_000_000_000,
             known: BTreeMap::new(),
             out: BTreeMap::new(),
@@ -138,13 +133,8 @@
     }
 
     fn list(&mut self) {
-        let line = |(n, &draining): (usize, &bool)| Listed {
-            engine: EngineId(n as u64),
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            phase: if draining { Phase::Draining } else { Phase::Ready },
-            born: None,
+        let line = |(n, &draining): (usize, &bool)| {
+            listed(n as u64, if draining { Phase::Draining } else { Phase::Ready })
         };
         let lines: Vec<Listed> = self.draining.iter().enumerate().map(line).collect();
         self.core.engines(self.now, ListKind::Whole, &lines);
--- a/crates/core/tests/unheard.rs
+++ b/crates/core/tests/unheard.rs
@@ -1,14 +1,10 @@
 //! Answers that are lost while their engine goes on answering others.
 
-use driftfront_core::{
-    Ask, AttemptKey, Command, Core, EngineId, Limits, ListKind, Listed, Note, Phase, Progress,
-};
-use driftfront_settings::json::{parse, Json};
-use std::rc::Rc;
+mod common;
 
-const S: u64 = 1_000_000;
-const LOOKUP: u16 = 0;
-const LOAD: u16 = 2;
+use common::{core, listed, LIMITS, LOAD, LOOKUP, S};
+use driftfront_core::{Ask, AttemptKey, Command, Core, Limits, ListKind, Note, Phase, Progress};
+use std::rc::Rc;
 
 struct Rig {
     core: Core,
@@ -18,14 +14,11 @@
 
 impl Rig {
     fn new(tells_each: bool) -> Rig {
-        let text = include_bytes!("../../node/tests/common/site.json");
-        let json = parse(text).expect("the example is JSON");
-        let mut settings =
-            driftfront_settings::from_json(Json(Some(&json)).get("settings")).expect("settings");
+        let mut settings = common::settings(str::to_string);
         settings.notes_every = Some(S);
-        let limits = Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each };
-        let mut rig = Rig { core: Core::new(settings, limits, 7), now: 1000 * S, asked: 0 };
-        let line = Listed { engine: EngineId(1), zone: 0, kind: 0, cell: 0, phase: Phase::Ready, born: None };
+        let limits = Limits { tells_each, ..LIMITS };
+        let mut rig = Rig { core: core(settings, limits), now: 1000 * S, asked: 0 };
+        let line = listed(1, Phase::Ready);
         rig.core.engines(rig.now, ListKind::Whole, &[line]);
         rig.commands();
         rig
--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -10,6 +10,7 @@
 use crate::members::NAME_MOST;
 use crate::Micros;
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 
 /// What a record is about: a number that all builds agree on.
@@ -88,6 +89,11 @@
     pub refused: Refusals,
 }
 
+/// All places of an owner.
+fn places_of(owner: &Rc<str>) -> RangeInclusive<Place> {
+    (owner.clone(), 0)..=(owner.clone(), Kind::MAX)
+}
+
 fn first_place() -> Place {
     (Rc::from(""), 0)
 }
@@ -144,7 +150,7 @@
     }
 
     fn kinds_of(&self, owner: &Rc<str>) -> usize {
-        self.records.range((owner.clone(), 0)..=(owner.clone(), Kind::MAX)).count()
+        self.records.range(places_of(owner)).count()
     }
 
     /// Our session from now on, if it is above the one before: our records are told anew under it.
@@ -152,7 +158,7 @@
         if session > self.session {
             self.session = session;
             let me = self.me.clone();
-            for (_, r) in self.records.range_mut((me.clone(), 0)..=(me, Kind::MAX)) {
+            for (_, r) in self.records.range_mut(places_of(&me)) {
                 (r.session, r.came, r.rounds) = (session, now, rounds);
             }
         }
@@ -229,8 +235,7 @@
         // What an earlier process of the owner's told says nothing any more.
         let (owner, session) = (place.0.clone(), new.session);
         self.records.retain(|p, r| p.0 != owner || r.session >= session);
-        if self.records.range((owner.clone(), 0)..=(owner.clone(), Kind::MAX)).any(|r| r.1.session > session)
-        {
+        if self.records.range(places_of(&owner)).any(|r| r.1.session > session) {
             return false;
         }
         self.owners.entry(owner).or_insert(Some(now));
@@ -250,7 +255,7 @@
         self.session = self.session.max(new.session);
         let (session, me) = (self.session, self.me.clone());
         let least = new.version + 1;
-        for (_, r) in self.records.range_mut((me.clone(), 0)..=(me, Kind::MAX)) {
+        for (_, r) in self.records.range_mut(places_of(&me)) {
             (r.session, r.version, r.rounds, r.came) = (session, r.version.max(least), r.rounds.max(8), now);
         }
         true
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,7 +1,7 @@
 //! Who is there: SWIM with suspicion and incarnations, by `foca`, which is free of I/O as this is.
 //!
 //! Figures, with the periods below: a member that dies is doubted by the first that probes it within a period and a half on
-//! average, and called down 1.2 s later, unless it says that it is there. What is called down is told of, and asked each
+//! average, and called down 2 s later, unless it says that it is there. What is called down is told of, and asked each
 //! two seconds whether it is back, so that halves that were cut apart find each other again.
 
 use crate::seal::PAYLOAD_MOST;
@@ -30,13 +30,14 @@
 /// An answer that has not come by then is asked for by way of others.
 const PROBE_ANSWER: Duration = Duration::from_millis(150);
 /// Others that are asked: where 30% of all datagrams are lost a way there and back fails by half.
-const BY_WAY_OF: usize = 8;
+const BY_WAY_OF: NonZeroUsize = NonZeroUsize::new(8).unwrap();
 /// Who is doubted and says nothing for this long is down: some eight ways that its word can take are lost by then.
 const DOWN_AFTER: Duration = Duration::from_millis(2_000);
 /// Who is down is remembered for this long, so that old words of it bring nobody back.
 const FORGET_DOWN: Duration = Duration::from_secs(60);
 /// Each word is passed on so often by each: three times the logarithm of 300.
-const PASS_ON: u8 = 18;
+const PASS_ON: NonZeroU8 = NonZeroU8::new(18).unwrap();
+const PACKET_MOST: NonZeroUsize = NonZeroUsize::new(PAYLOAD_MOST).unwrap();
 const GOSSIP: PeriodicParams =
     PeriodicParams { frequency: Duration::from_millis(200), num_members: NonZeroUsize::new(3).unwrap() };
 const ANNOUNCE: PeriodicParams =
@@ -190,11 +191,11 @@
     Config {
         probe_period: PROBE_EVERY,
         probe_rtt: PROBE_ANSWER,
-        num_indirect_probes: NonZeroUsize::new(BY_WAY_OF).unwrap_or(NonZeroUsize::MIN),
-        max_transmissions: NonZeroU8::new(PASS_ON).unwrap_or(NonZeroU8::MIN),
+        num_indirect_probes: BY_WAY_OF,
+        max_transmissions: PASS_ON,
         suspect_to_down_after: DOWN_AFTER,
         remove_down_after: FORGET_DOWN,
-        max_packet_size: NonZeroUsize::new(PAYLOAD_MOST).unwrap_or(NonZeroUsize::MIN),
+        max_packet_size: PACKET_MOST,
         notify_down_members: true,
         periodic_announce: Some(ANNOUNCE),
         periodic_announce_to_down_members: Some(ASK_DOWN),
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -327,11 +327,6 @@
         self.members.others()
     }
 
-    /// Whether somebody of this name is there; we are.
-    pub fn is_there(&self, name: &str) -> bool {
-        self.me().name == name || self.members.there().any(|m| m.name == name)
-    }
-
     /// How far this process doubts itself, from 0.
     pub fn doubt(&self) -> u32 {
         self.pace.doubt()
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,13 @@
 pub mod storm;
 pub mod world;
 
-pub use script::{Deed, Group, Link, Script};
+pub use script::{Deed, Group, Link, Links, Script};
 pub use world::World;
+
+use driftfront_fleet::Micros;
+
+/// The time, in seconds, that this part of a sorted list does not pass; no number where it is empty.
+pub fn percentile(sorted: &[Micros], part: f64) -> f64 {
+    let place = ((sorted.len() as f64 * part).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
+    sorted.get(place).map_or(f64::NAN, |&t| t as f64 / 1e6)
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,12 +1,15 @@
 //! Plays scripts on virtual time and prints what members knew and when, as tables.
 
 use driftfront_fleet::seal::{Payload, Seal};
-use driftfront_fleet::{About, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
-use driftfront_lab::{Script, World};
+use driftfront_fleet::{About, Fleet, Identity, Micros, Options, Standing};
+use driftfront_lab::world::{addr, keys, name, Seen};
+use driftfront_lab::{percentile, storm, Script, World};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use std::fmt::Display;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N] [--late]
     a member is killed after 20 s and the rest watched for 20 s more: how long until all know, who was called down
@@ -20,20 +23,21 @@
 
 const S: Micros = 1_000_000;
 
-fn percentile(sorted: &[Micros], part: f64) -> f64 {
-    let place = ((sorted.len() as f64 * part).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
-    sorted.get(place).map_or(f64::NAN, |&t| t as f64 / 1e6)
+/// An option's number.
+fn number<T: FromStr<Err: Display>>(
+    args: &mut pico_args::Arguments,
+    name: &'static str,
+    otherwise: T,
+) -> Result<T, String> {
+    args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
 }
 
 fn members(mut args: pico_args::Arguments) -> Result<(), String> {
-    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: f64| {
-        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
-    };
     let verbose = args.contains("--late");
-    let n = number(&mut args, "--members", 24.0)? as u32;
-    let runs = number(&mut args, "--runs", 20.0)? as u64;
-    let loss = number(&mut args, "--loss", 0.0)?;
-    let seed = number(&mut args, "--seed", 1.0)? as u64;
+    let n = number(&mut args, "--members", 24u32)?;
+    let runs = number(&mut args, "--runs", 20u64)?;
+    let loss = number(&mut args, "--loss", 0f64)?;
+    let seed = number(&mut args, "--seed", 1u64)?;
     let mut first: Vec<Micros> = Vec::new();
     let mut all: Vec<Micros> = Vec::new();
     let (mut false_deaths, mut unknowing, mut sent, mut bytes) = (0u64, 0u64, 0u64, 0u64);
@@ -51,7 +55,7 @@
         let after = sums(&world, n);
         (sent, bytes) = (sent + after.0 - before.0, bytes + after.1 - before.1);
         world.play(40 * S, |_| false);
-        let down = |s: &&driftfront_lab::world::Seen| s.standing == Some(Standing::Down);
+        let down = |s: &&Seen| s.standing == Some(Standing::Down);
         let mut knew: Vec<Micros> = world
             .seen
             .iter()
@@ -108,20 +112,12 @@
 /// Feeds a member what no honest one sends, one input after another; an input that makes it panic ends the run with its
 /// number, which with the seed makes it again.
 fn fuzz(mut args: pico_args::Arguments) -> Result<(), String> {
-    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: u64| {
-        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
-    };
-    let (runs, seed) = (number(&mut args, "--runs", 1_000_000)?, number(&mut args, "--seed", 1)?);
+    let (runs, seed) = (number(&mut args, "--runs", 1_000_000u64)?, number(&mut args, "--seed", 1u64)?);
     let mut rng = SmallRng::seed_from_u64(seed);
-    let keys = || Keyring::of(Key::parse("000102030405060708090a0b0c0d0e0f").expect("32 digits"));
     let fleet = |n: u8, rng: &mut SmallRng| {
-        let me = Identity {
-            name: format!("m{n}"),
-            addr: driftfront_lab::world::addr(u32::from(n)),
-            session: u64::from(n),
-            back: 0,
-        };
-        let seeds = vec![driftfront_lab::world::addr(1), driftfront_lab::world::addr(2)];
+        let me =
+            Identity { name: name(u32::from(n)), addr: addr(u32::from(n)), session: u64::from(n), back: 0 };
+        let seeds = vec![addr(1), addr(2)];
         Fleet::new(0, Options { me, about: About::default(), keys: keys(), seeds, seed: rng.random() })
     };
     let (mut target, mut peer) = (fleet(1, &mut rng), fleet(2, &mut rng));
@@ -197,17 +193,14 @@
 }
 
 fn storms(mut args: pico_args::Arguments) -> Result<(), String> {
-    let number = |args: &mut pico_args::Arguments, name: &'static str, otherwise: u64| {
-        args.opt_value_from_str(name).map(|v| v.unwrap_or(otherwise)).map_err(|e| e.to_string())
-    };
-    let members = number(&mut args, "--members", 8)? as u32;
-    let (runs, first) = (number(&mut args, "--runs", 100)?, number(&mut args, "--seed", 1)?);
+    let members = number(&mut args, "--members", 8u32)?;
+    let (runs, first) = (number(&mut args, "--runs", 100u64)?, number(&mut args, "--seed", 1u64)?);
     let all: Vec<u32> = (0..members).collect();
     let (mut took, mut never): (Vec<Micros>, Vec<u64>) = (Vec::new(), Vec::new());
     let (mut deaths_after, mut most_sent) = (0u64, 0u64);
     for seed in first..first + runs {
-        let script = driftfront_lab::storm::storm(members, seed, true);
-        let (quiet, until) = (driftfront_lab::storm::QUIET, script.until);
+        let script = storm::storm(members, seed, true);
+        let (quiet, until) = (storm::QUIET, script.until);
         let mut world = World::new(script);
         world.play(quiet, |_| false);
         let before = sums(&world, members).0;
@@ -215,7 +208,7 @@
             true => took.push(world.time() - quiet),
             false => {
                 never.push(seed);
-                for (at, deed) in &driftfront_lab::storm::storm(members, seed, true).deeds {
+                for (at, deed) in &storm::storm(members, seed, true).deeds {
                     println!("  seed {seed}: {:6.2} s {deed:?}", *at as f64 / 1e6);
                 }
                 for by in 0..members {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -19,6 +19,8 @@
 
 use driftfront_fleet::Micros;
 use kdl::{KdlDocument, KdlEntry, KdlNode};
+use rand::Rng;
+use std::collections::BTreeMap;
 
 /// Some members.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +74,68 @@
     }
 }
 
+impl Link {
+    /// What becomes of one datagram, drawn anew: after how long each copy of it comes, for those that do.
+    pub fn carry(&self, rng: &mut impl Rng) -> Vec<Micros> {
+        let copies = 1 + u32::from(rng.random_bool(self.repeat));
+        let mut come = Vec::new();
+        for _ in 0..copies {
+            if self.cut || rng.random_bool(self.loss) {
+                continue;
+            }
+            let late = if self.jitter > 0 { rng.random_range(0..self.jitter) } else { 0 };
+            come.push(self.delay + late);
+        }
+        come
+    }
+}
+
+/// The links between all members, as deeds change them.
+pub struct Links {
+    members: u32,
+    zones: u32,
+    /// Where no deed says anything.
+    otherwise: Link,
+    usual: Vec<(Group, Group, Link)>,
+    cuts: BTreeMap<(u32, u32), Link>,
+}
+
+impl Links {
+    /// All are so.
+    pub fn new(members: u32, zones: u32, otherwise: Link) -> Links {
+        Links { members, zones, otherwise, usual: Vec::new(), cuts: BTreeMap::new() }
+    }
+
+    /// The link from one member to another.
+    pub fn between(&self, from: u32, to: u32) -> Link {
+        let usual = || self.usual.iter().rev().find(|u| u.0.has(from, self.zones) && u.1.has(to, self.zones));
+        let cut = self.cuts.get(&(from, to)).copied();
+        cut.unwrap_or_else(|| usual().map_or(self.otherwise, |u| u.2))
+    }
+
+    /// Links from the first to the second become so.
+    pub fn set(&mut self, from: &Group, to: &Group, link: Link) {
+        self.usual.push((from.clone(), to.clone(), link));
+    }
+
+    /// Nothing comes between these and all others: from them, to them.
+    pub fn cut(&mut self, some: &[u32], (out, into): (bool, bool)) {
+        for &one in some {
+            for other in (0..self.members).filter(|m| !some.contains(m)) {
+                for (way, _) in [((one, other), out), ((other, one), into)].into_iter().filter(|w| w.1) {
+                    let link = Link { cut: true, ..self.between(way.0, way.1) };
+                    self.cuts.insert(way, link);
+                }
+            }
+        }
+    }
+
+    /// No cut is left.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+}
+
 /// What is done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
@@ -207,6 +271,11 @@
 }
 
 impl Script {
+    /// The members of these groups.
+    pub fn members_of(&self, groups: &[Group]) -> Vec<u32> {
+        (0..self.members).filter(|&m| groups.iter().any(|g| g.has(m, self.zones))).collect()
+    }
+
     /// Reads a script; an error names its line.
     pub fn read(text: &str) -> Result<Script, String> {
         let document = KdlDocument::parse(text).map_err(|e| {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,6 +1,6 @@
 //! Many members and the network between them, on virtual time: one thread, one seed, the same to the byte each time.
 
-use crate::script::{Deed, Group, Link, Script};
+use crate::script::{Deed, Link, Links, Script};
 use driftfront_fleet::{About, Counters, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,7 +21,6 @@
     socket: VecDeque<Vec<u8>>,
     /// What its clock shows more than the world's.
     clock: i64,
-    starts: u32,
     /// Counts of its earlier lives.
     before: Counters,
 }
@@ -50,8 +49,7 @@
     script: Script,
     next_deed: usize,
     processes: Vec<Process>,
-    links: BTreeMap<(u32, u32), Link>,
-    usual: Vec<(Group, Group, Link)>,
+    links: Links,
     queue: BTreeMap<(Micros, u64), Event>,
     order: u64,
     rng: SmallRng,
@@ -83,8 +81,12 @@
     }
 }
 
-fn keys() -> Keyring {
-    Keyring::of(Key::parse("000102030405060708090a0b0c0d0e0f").expect("32 digits"))
+/// The key of all members.
+pub const KEY: &str = "000102030405060708090a0b0c0d0e0f";
+
+/// A keyring of it.
+pub fn keys() -> Keyring {
+    Keyring::of(Key::parse(KEY).expect("32 digits"))
 }
 
 impl World {
@@ -96,15 +98,13 @@
             stopped: false,
             socket: VecDeque::new(),
             clock: 0,
-            starts: 0,
             before: Counters::default(),
         };
         let mut world = World {
             now: 1_000_000_000,
             next_deed: 0,
             processes: (0..script.members).map(process).collect(),
-            links: BTreeMap::new(),
-            usual: Vec::new(),
+            links: Links::new(script.members, script.zones, Link::default()),
             queue: BTreeMap::new(),
             order: 0,
             rng,
@@ -186,7 +186,6 @@
         if p.fleet.is_some() {
             return;
         }
-        p.starts += 1;
         let me = Identity { name: name(member), addr: addr(member), session, back: 0 };
         let about = About {
             zone: format!("z{}", member % self.script.zones),
@@ -216,28 +215,13 @@
         self.views.retain(|(by, _), _| *by != member);
     }
 
-    fn link(&self, from: u32, to: u32) -> Link {
-        if let Some(link) = self.links.get(&(from, to)) {
-            return *link;
-        }
-        let zones = self.script.zones;
-        let usual = self.usual.iter().rev().find(|u| u.0.has(from, zones) && u.1.has(to, zones));
-        usual.map_or(Link::default(), |u| u.2)
-    }
-
     fn carry(&mut self, from: u32, to: SocketAddr, bytes: Vec<u8>) {
         for b in &bytes {
             self.trace = (self.trace ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3);
         }
         let Some(to) = member_at(to).filter(|&m| m < self.script.members) else { return };
-        let link = self.link(from, to);
-        let copies = 1 + u32::from(self.rng.random_bool(link.repeat));
-        for _ in 0..copies {
-            if link.cut || self.rng.random_bool(link.loss) {
-                continue;
-            }
-            let late = if link.jitter > 0 { self.rng.random_range(0..link.jitter) } else { 0 };
-            self.push(self.now + link.delay + late, Event::Deliver(to, bytes.clone()));
+        for after in self.links.between(from, to).carry(&mut self.rng) {
+            self.push(self.now + after, Event::Deliver(to, bytes.clone()));
         }
     }
 
@@ -275,42 +259,26 @@
         }
     }
 
-    fn members_of(&self, groups: &[Group]) -> Vec<u32> {
-        let zones = self.script.zones;
-        (0..self.script.members).filter(|&m| groups.iter().any(|g| g.has(m, zones))).collect()
-    }
-
     fn deed(&mut self, deed: Deed) {
         match deed {
-            Deed::Link(from, to, link) => self.usual.push((from, to, link)),
-            Deed::Heal => self.links.clear(),
-            Deed::Cut(groups, (out, into)) => {
-                let some = self.members_of(&groups);
-                for &one in &some {
-                    for other in (0..self.script.members).filter(|m| !some.contains(m)) {
-                        let ways = [((one, other), out), ((other, one), into)];
-                        for (way, _) in ways.into_iter().filter(|w| w.1) {
-                            let link = Link { cut: true, ..self.link(way.0, way.1) };
-                            self.links.insert(way, link);
-                        }
-                    }
-                }
-            }
-            Deed::Kill(groups) => self.members_of(&groups).into_iter().for_each(|m| self.end(m)),
+            Deed::Link(from, to, link) => self.links.set(&from, &to, link),
+            Deed::Heal => self.links.heal(),
+            Deed::Cut(groups, ways) => self.links.cut(&self.script.members_of(&groups), ways),
+            Deed::Kill(groups) => self.script.members_of(&groups).into_iter().for_each(|m| self.end(m)),
             Deed::Stop(groups) => {
-                for m in self.members_of(&groups) {
+                for m in self.script.members_of(&groups) {
                     self.processes[m as usize].stopped = true;
                 }
             }
             Deed::Wake(groups) => {
-                for m in self.members_of(&groups) {
+                for m in self.script.members_of(&groups) {
                     self.processes[m as usize].stopped = false;
                     self.work(m, false);
                 }
             }
-            Deed::Start(groups) => self.members_of(&groups).into_iter().for_each(|m| self.start(m)),
+            Deed::Start(groups) => self.script.members_of(&groups).into_iter().for_each(|m| self.start(m)),
             Deed::Leave(groups) => {
-                for m in self.members_of(&groups) {
+                for m in self.script.members_of(&groups) {
                     let clock = self.clock(m);
                     if let Some(fleet) = self.fleet(m) {
                         fleet.leave(clock);
@@ -320,7 +288,7 @@
                 }
             }
             Deed::Clock(groups, by) => {
-                for m in self.members_of(&groups) {
+                for m in self.script.members_of(&groups) {
                     self.processes[m as usize].clock += by;
                 }
             }
--- a/crates/node/tests/wires.rs
+++ b/crates/node/tests/wires.rs
@@ -132,18 +132,7 @@
                 Step::Start(id) if !model.contains_key(&id) => {
                     let ask = ask(&format!("c{id}"));
                     assert!(lines.takes(&ask.call));
-                    lines.start(
-                        &Start {
-                            key: key(id),
-                            ask: &ask,
-                            class: "k",
-                            name: &ask.call,
-                            patience: 1_500_999,
-                            grant_mb: 0.0,
-                            notes_every: None,
-                        },
-                        &mut out,
-                    );
+                    lines.start(&Start { patience: 1_500_999, ..start(key(id), &ask) }, &mut out);
                     assert_eq!(String::from_utf8_lossy(&out), format!("REQ c{id} kind=k,ms=1500 1\r\nx\r\n"));
                     model.insert(id, 0);
                 }
@@ -219,18 +208,7 @@
     let key = AttemptKey { request: RequestId(1), number: 0 };
     let open = || {
         let mut lines = Lines::new(32, Rc::from([]));
-        lines.start(
-            &Start {
-                key,
-                ask: &ask("c1"),
-                class: "k",
-                name: "c1",
-                patience: 1000,
-                grant_mb: 0.0,
-                notes_every: None,
-            },
-            &mut Vec::new(),
-        );
+        lines.start(&start(key, &ask("c1")), &mut Vec::new());
         lines
     };
     for (answer, known) in [
@@ -273,18 +251,7 @@
     let key = AttemptKey { request: RequestId(1), number: 0 };
     for (name, fine) in [("c1", true), ("c0", false)] {
         let (mut http, mut seen) = (Http::new("h".into()), Vec::new());
-        http.start(
-            &Start {
-                key,
-                ask: &ask("c1"),
-                class: "k",
-                name: "c1",
-                patience: 1000,
-                grant_mb: 0.0,
-                notes_every: None,
-            },
-            &mut Vec::new(),
-        );
+        http.start(&start(key, &ask("c1")), &mut Vec::new());
         let answer =
             format!("HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: {name}\r\nContent-Length: 2\r\n\r\n1\n");
         assert_eq!(http.feed(0, answer.as_bytes(), &mut Vec::new(), &mut seen).is_ok(), fine);
@@ -292,6 +259,11 @@
     }
 }
 
+/// An attempt under its request's own name.
+fn start(key: AttemptKey, ask: &Ask) -> Start<'_> {
+    Start { key, ask, class: "k", name: &ask.call, patience: 1000, grant_mb: 0.0, notes_every: None }
+}
+
 /// An engine that tells nothing of itself or the query.
 fn told(key: AttemptKey) -> Seen {
     Seen::Told(key, Told::default())
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,11 +9,13 @@
 pub mod net;
 pub mod process;
 
-pub use driftfront_lab::script::{Deed, Group, Link, Script};
+pub use driftfront_control::snapshot::Member;
+pub use driftfront_lab::world::{name, KEY};
+pub use driftfront_lab::{Deed, Group, Link, Script};
 pub use net::Net;
-pub use process::{Member, Process};
+pub use process::Process;
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -53,9 +55,6 @@
 
 static RIGS: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
 
-/// The key of all members.
-pub const KEY: &str = "000102030405060708090a0b0c0d0e0f";
-
 impl Rig {
     /// Starts a script's members: processes of this program, in front of an engine at this address.
     pub fn start(binary: &str, engine: &str, script: &str) -> Rig {
@@ -143,19 +142,23 @@
     /// Does one thing now.
     pub fn deed(&mut self, deed: &Deed) {
         self.log.note(self.begun, format!("{deed:?}"));
-        let zones = self.script.zones;
-        let of = |groups: &[Group]| -> Vec<u32> {
-            (0..self.script.members).filter(|&m| groups.iter().any(|g| g.has(m, zones))).collect()
-        };
         match deed {
             Deed::Link(from, to, link) => self.net.link(from, to, *link),
             Deed::Heal => self.net.heal(),
-            Deed::Cut(groups, ways) => self.net.cut(&of(groups), *ways),
-            Deed::Kill(groups) => of(groups).into_iter().for_each(|m| self.process(m).kill()),
-            Deed::Stop(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-STOP")),
-            Deed::Wake(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-CONT")),
-            Deed::Start(groups) => of(groups).into_iter().for_each(|m| self.spawn(m)),
-            Deed::Leave(groups) => of(groups).into_iter().for_each(|m| self.process(m).signal("-TERM")),
+            Deed::Cut(groups, ways) => self.net.cut(&self.script.members_of(groups), *ways),
+            Deed::Kill(groups) => {
+                self.script.members_of(groups).into_iter().for_each(|m| self.process(m).kill())
+            }
+            Deed::Stop(groups) => {
+                self.script.members_of(groups).into_iter().for_each(|m| self.process(m).signal("-STOP"))
+            }
+            Deed::Wake(groups) => {
+                self.script.members_of(groups).into_iter().for_each(|m| self.process(m).signal("-CONT"))
+            }
+            Deed::Start(groups) => self.script.members_of(groups).into_iter().for_each(|m| self.spawn(m)),
+            Deed::Leave(groups) => {
+                self.script.members_of(groups).into_iter().for_each(|m| self.process(m).signal("-TERM"))
+            }
             // Processes on one machine share its clock; the lab moves clocks.
             Deed::Clock(..) => {}
         }
@@ -182,21 +185,21 @@
         self.processes[by as usize].members()
     }
 
+    /// Whether a member sees just these there, by its own word.
+    pub fn sees_just(&self, by: u32, there: &[u32]) -> bool {
+        let mut names: Vec<String> = there.iter().map(|&m| name(m)).collect();
+        names.sort();
+        // The program lists them by name.
+        self.sees(by).iter().filter(|s| s.standing != "gone").map(|s| &s.name).eq(&names)
+    }
+
     /// Waits until each of these sees just those there, or says what it sees instead.
     pub fn wait_until_seen(&self, by: &[u32], there: &[u32]) {
         let since = Instant::now();
-        let mut names: Vec<String> = there.iter().map(|m| format!("m{m}")).collect();
-        names.sort();
         for &m in by {
-            loop {
-                let seen = self.sees(m);
-                let mut now: Vec<String> =
-                    seen.iter().filter(|s| s.standing != "gone").map(|s| s.name.clone()).collect();
-                now.sort();
-                if now == names {
-                    break;
-                }
-                assert!(since.elapsed() < FOR_EVER, "m{m} sees {seen:?}, not {names:?}\n{}", self.log.text());
+            while !self.sees_just(m, there) {
+                let late = || format!("m{m} sees {:?}, not {there:?}\n{}", self.sees(m), self.log.text());
+                assert!(since.elapsed() < FOR_EVER, "{}", late());
                 std::thread::sleep(Duration::from_millis(20));
             }
         }
@@ -237,11 +240,6 @@
     pub fn counter(&self, member: u32, name: &str) -> u64 {
         process::counter(self.clients(member), name).unwrap_or(0)
     }
-
-    /// The folder of this rig's files.
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
 }
 
 impl Drop for Rig {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,6 @@
 //! Storms of faults over processes of the program, then quiet: how long until all have one view again.
 
-use driftfront_lab::storm;
+use driftfront_lab::{percentile, storm};
 use driftfront_rig::Rig;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -58,25 +58,17 @@
         cost(&binary, members, number("--seconds", 20));
         return ExitCode::SUCCESS;
     }
-    let all: Vec<String> = (0..members).map(|m| format!("m{m}")).collect();
-    let (mut took, mut never): (Vec<Duration>, Vec<u64>) = (Vec::new(), Vec::new());
+    let all: Vec<u32> = (0..members).collect();
+    let (mut took, mut never): (Vec<u64>, Vec<u64>) = (Vec::new(), Vec::new());
     for seed in first..first + runs {
         let mut rig = Rig::of(&binary, "127.0.0.1:9", storm::storm(members, seed, false));
         rig.play();
         let quiet = Instant::now();
         let owed = Duration::from_micros(storm::OWED);
-        let agree = |rig: &Rig| {
-            (0..members).all(|m| {
-                let seen = rig.sees(m);
-                let mut there: Vec<String> =
-                    seen.into_iter().filter(|s| s.standing != "gone").map(|s| s.name).collect();
-                there.sort();
-                there == all
-            })
-        };
+        let agree = |rig: &Rig| all.iter().all(|&m| rig.sees_just(m, &all));
         loop {
             if agree(&rig) {
-                took.push(quiet.elapsed());
+                took.push(quiet.elapsed().as_micros() as u64);
                 break;
             }
             if quiet.elapsed() > owed {
@@ -97,16 +89,12 @@
         }
     }
     took.sort_unstable();
-    let at = |part: f64| {
-        let place = ((took.len() as f64 * part).ceil() as usize).clamp(1, took.len().max(1)) - 1;
-        took.get(place).map_or(f64::NAN, Duration::as_secs_f64)
-    };
     println!(
         "processes {members}, {runs} storms from seed {first}: one view again after p50 {:.2} s  p99 {:.2} s  max {:.2} s; \
          never within the time owed: {never:?}",
-        at(0.5),
-        at(0.99),
-        at(1.0)
+        percentile(&took, 0.5),
+        percentile(&took, 0.99),
+        percentile(&took, 1.0)
     );
     if never.is_empty() {
         ExitCode::SUCCESS
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -1,10 +1,10 @@
 //! Datagrams between processes, by the link between the two.
 
-use driftfront_lab::script::{Group, Link};
+use driftfront_lab::{Group, Link, Links};
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BinaryHeap;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -21,25 +21,14 @@
 struct Shared {
     /// Where each process really listens.
     inner: Vec<Option<SocketAddr>>,
-    links: BTreeMap<(u32, u32), Link>,
-    usual: Vec<(Group, Group, Link)>,
-    zones: u32,
+    links: Links,
     rng: SmallRng,
     order: u64,
-    /// Datagrams let through, and lost.
-    through: u64,
-    lost: u64,
 }
 
-impl Shared {
-    fn link(&self, from: u32, to: u32) -> Link {
-        if let Some(link) = self.links.get(&(from, to)) {
-            return *link;
-        }
-        let usual = self.usual.iter().rev().find(|u| u.0.has(from, self.zones) && u.1.has(to, self.zones));
-        // Loopback by itself: the rig adds nothing where no script says so.
-        usual.map_or(Link { delay: 0, jitter: 0, ..Link::default() }, |u| u.2)
-    }
+/// Loopback by itself: the rig adds nothing where no script says so.
+fn bare() -> Link {
+    Link { delay: 0, jitter: 0, ..Link::default() }
 }
 
 /// The network between the members of a rig.
@@ -47,7 +36,6 @@
     public: Vec<SocketAddr>,
     shared: Arc<Mutex<Shared>>,
     over: Arc<AtomicBool>,
-    members: u32,
 }
 
 impl Net {
@@ -55,13 +43,9 @@
     pub fn start(members: u32, zones: u32, seed: u64) -> Net {
         let shared = Shared {
             inner: vec![None; members as usize],
-            links: BTreeMap::new(),
-            usual: Vec::new(),
-            zones,
+            links: Links::new(members, zones, bare()),
             rng: SmallRng::seed_from_u64(seed),
             order: 0,
-            through: 0,
-            lost: 0,
         };
         let shared = Arc::new(Mutex::new(shared));
         let over = Arc::new(AtomicBool::new(false));
@@ -76,7 +60,7 @@
         }
         let (held, done) = (shared.clone(), over.clone());
         std::thread::spawn(move || deliver(&due, &held, &done));
-        Net { public, shared, over, members }
+        Net { public, shared, over }
     }
 
     /// Where others send a member's datagrams.
@@ -95,34 +79,17 @@
 
     /// Links from the first to the second become so.
     pub fn link(&self, from: &Group, to: &Group, link: Link) {
-        self.with(|s| s.usual.push((from.clone(), to.clone(), link)));
+        self.with(|s| s.links.set(from, to, link));
     }
 
     /// Nothing comes between these and all others: from them, to them.
-    pub fn cut(&self, some: &[u32], (out, into): (bool, bool)) {
-        let members = self.members;
-        self.with(|s| {
-            for &one in some {
-                for other in (0..members).filter(|m| !some.contains(m)) {
-                    for (way, cut) in [((one, other), out), ((other, one), into)] {
-                        if cut {
-                            let link = Link { cut: true, ..s.link(way.0, way.1) };
-                            s.links.insert(way, link);
-                        }
-                    }
-                }
-            }
-        });
+    pub fn cut(&self, some: &[u32], ways: (bool, bool)) {
+        self.with(|s| s.links.cut(some, ways));
     }
 
     /// No cut is left.
     pub fn heal(&self) {
-        self.with(|s| s.links.clear());
-    }
-
-    /// Datagrams let through, and lost.
-    pub fn counts(&self) -> (u64, u64) {
-        self.with(|s| (s.through, s.lost))
+        self.with(|s| s.links.heal());
     }
 }
 
@@ -139,17 +106,10 @@
         let Ok(mut s) = shared.lock() else { return };
         // Who is no member, as a flood from elsewhere, comes through as it is.
         let sender = s.inner.iter().position(|i| *i == Some(from)).map(|m| m as u32);
-        let link = sender.map_or(Link { delay: 0, jitter: 0, ..Link::default() }, |m| s.link(m, to));
-        let copies = 1 + u32::from(s.rng.random_bool(link.repeat));
-        for _ in 0..copies {
-            if link.cut || s.rng.random_bool(link.loss) {
-                s.lost += 1;
-                continue;
-            }
-            s.through += 1;
-            let late = if link.jitter > 0 { s.rng.random_range(0..link.jitter) } else { 0 };
-            let at = Instant::now() + Duration::from_micros(link.delay + late);
+        let link = sender.map_or(bare(), |m| s.links.between(m, to));
+        for after in link.carry(&mut s.rng) {
             s.order += 1;
+            let at = Instant::now() + Duration::from_micros(after);
             let _ = send.send((at, s.order, to, bytes[..n].to_vec()));
         }
     }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,28 +1,14 @@
 //! A process of the program, and what it says of itself.
 
 use crate::{Log, FOR_EVER};
+use driftfront_console::remote::{At, Remote};
+use driftfront_control::snapshot::Member;
+use driftfront_control::{Reply, Request};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
-use tinyjson::JsonValue;
-
-/// A member as another sees it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Member {
-    /// Its name.
-    pub name: String,
-    /// `there`, `doubted` or `gone`.
-    pub standing: String,
-    /// What it does, by its own word.
-    pub state: String,
-    /// Its zone.
-    pub zone: String,
-    /// Its build.
-    pub build: String,
-}
+use std::time::Instant;
 
 /// A process, running or not.
 pub struct Process {
@@ -44,17 +30,6 @@
         Process { binary: binary.into(), config: path, socket, member, child: None, clients: None }
     }
 
-    /// Another build is started from now on.
-    pub fn set_build(&mut self, binary: &Path) {
-        self.binary = binary.into();
-    }
-
-    /// Another file is read from the next start, or SIGHUP, on.
-    pub fn set_config(&mut self, edit: impl Fn(String) -> String) {
-        let text = std::fs::read_to_string(&self.config).expect("its file");
-        std::fs::write(&self.config, edit(text)).expect("its file");
-    }
-
     /// Starts it; where its datagrams come in.
     pub fn start(&mut self, log: &Log, begun: Instant) -> SocketAddr {
         let mut command = Command::new(&self.binary);
@@ -127,40 +102,14 @@
         (memory.unwrap_or(0), ticks(11) + ticks(12))
     }
 
-    /// Whom it sees; none where it does not answer at once, as one that is stopped.
+    /// Whom it sees, by name; none where it does not answer, as one that is stopped.
     pub fn members(&self) -> Vec<Member> {
-        self.ask().unwrap_or_default()
-    }
-
-    fn ask(&self) -> Option<Vec<Member>> {
-        let mut stream = UnixStream::connect(&self.socket).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-        stream.write_all(b"{\"v\":1,\"id\":1,\"do\":\"snapshot\"}\n").ok()?;
-        let mut lines = BufReader::new(stream);
-        let mut line = String::new();
-        // The greeting, then the answer.
-        lines.read_line(&mut line).ok()?;
-        line.clear();
-        lines.read_line(&mut line).ok()?;
-        let answer: JsonValue = line.parse().ok()?;
-        let field = |v: &JsonValue, name: &str| match v {
-            JsonValue::Object(o) => o.get(name).cloned(),
-            _ => None,
-        };
-        let members = field(&field(&answer, "snapshot")?, "members")?;
-        let JsonValue::Array(members) = members else { return None };
-        let text = |m: &JsonValue, name: &str| match field(m, name) {
-            Some(JsonValue::String(s)) => s,
-            _ => String::new(),
-        };
-        let member = |m: &JsonValue| Member {
-            name: text(m, "name"),
-            standing: text(m, "standing"),
-            state: text(m, "state"),
-            zone: text(m, "zone"),
-            build: text(m, "build"),
-        };
-        Some(members.iter().map(member).collect())
+        let snapshot =
+            Remote::connect(&At::Socket(self.socket.clone())).and_then(|mut r| r.ask(&Request::Snapshot));
+        match snapshot {
+            Ok(Reply::Snapshot(s)) => s.members,
+            _ => Vec::new(),
+        }
     }
 }
 
