Agreed decisions: rights lent by a replicated log, with voters, founding and disk

Members and facts can't do that: both are wrong for a while.

crates/fleet/src/agreed: rights (an owner, an end, a fencing number) as the state of a log on `raft` 0.7, which does no I/O; its panics end the replica alone, its random draws are replaced by seeded ones. Founding by all founders of the operator's file, once; a voter that lost its log gets its seat again under a new id, one that is gone for good is replaced where logs are kept; a log whose majority is lost for ever is let go and founded anew, and lends nothing for 30 s, the longest time for which such a log lends. Readers get copies in parts. The holder's end is by its own clock, from before it asked, and is looked at when the right is used.

crates/lab: disks that tear at a kill, members that ask, hold and give back, and a check at each event whether any right would be acted on twice. The world's clocks began so low that a clock set back by an hour went below 0 (a member's session was then beyond all bounds): they begin at 100,000 s.

Not in `run`: nothing in the program opens it yet.

--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -18,6 +18,8 @@
 
 /// A member's word on itself, as [`crate::About`].
 pub const ABOUT: Kind = 1;
+/// A member's part in what is agreed, as [`crate::agreed::Notice`].
+pub const AGREED: Kind = 2;
 
 /// Longest value.
 pub const VALUE_MOST: usize = 256;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //!
 //! 1. [`members`]: who is there, by SWIM (`foca`). Wrong at times, for a stated time.
 //! 2. [`facts`]: each member's own records, newest wins, with their age. A wrong one costs service, never a rule.
-//! 3. Agreed decisions: not here yet; nothing in this crate may be used for a budget that must never be passed.
+//! 3. [`agreed`]: what must never be decided twice, as rights that are lent by a majority of a few.
 //!
 //! [`Fleet`] holds both and speaks the language of [`seal`]: datagrams go in with the time, datagrams come out. It has no
 //! clock, socket or random source of its own, so that the same unit runs in the program and by hundreds on virtual time.
@@ -17,6 +17,7 @@
 #![forbid(unsafe_code)]
 
 pub mod about;
+pub mod agreed;
 pub mod facts;
 pub mod members;
 pub mod pace;
@@ -24,6 +25,7 @@
 mod unit;
 
 pub use about::{About, State};
+pub use agreed::Agreed;
 pub use facts::{Fact, Kind};
 pub use members::{Identity, Standing};
 pub use seal::{Key, Keyring};
--- a/crates/fleet/src/seal.rs
+++ b/crates/fleet/src/seal.rs
@@ -46,6 +46,8 @@
     Digest,
     /// To a member whose session is not above that of an earlier process of its name: which that was.
     Behind,
+    /// What is agreed, and what is asked to be.
+    Agreed,
     /// Of a later build: counted and let go.
     Unknown(u8),
 }
@@ -57,6 +59,7 @@
             Payload::Facts => 2,
             Payload::Digest => 3,
             Payload::Behind => 4,
+            Payload::Agreed => 5,
             Payload::Unknown(code) => code,
         }
     }
@@ -67,6 +70,7 @@
             2 => Payload::Facts,
             3 => Payload::Digest,
             4 => Payload::Behind,
+            5 => Payload::Agreed,
             other => Payload::Unknown(other),
         }
     }
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -1,7 +1,8 @@
 //! The fleet as one member knows it: datagrams and time in, datagrams out.
 
 use crate::about::About;
-use crate::facts::{Fact, Facts, Kind, Refusals, ABOUT};
+use crate::agreed::{self, Agreed, Notice, Peer};
+use crate::facts::{Fact, Facts, Kind, Refusals, ABOUT, AGREED};
 use crate::members::{Change, Identity, Members, Standing};
 use crate::pace::Pace;
 use crate::seal::{Keyring, Payload, Refused, Seal, PAYLOAD_MOST};
@@ -32,6 +33,10 @@
 const MEMBERS_A_SECOND: f64 = 120.0;
 const FACTS_A_SECOND: f64 = 60.0;
 const BYTES_A_DATAGRAM: f64 = 600.0;
+/// The same for what is agreed: five voters' heartbeats are 20, and each entry one to each of them and back.
+const AGREED_A_SECOND: f64 = 200.0;
+/// A member's part in what is agreed is told anew this often at most: it changes with each entry.
+const NOTICE: Micros = 200_000;
 /// Datagrams that wait to be written.
 const OUT_MOST: usize = 512;
 
@@ -47,6 +52,8 @@
     pub seeds: Vec<SocketAddr>,
     /// For all that is drawn at random.
     pub seed: u64,
+    /// Our part in what is agreed; `None` where it is to be opened later ([`Fleet::open_agreed`]), or never.
+    pub agreed: Option<agreed::Options>,
 }
 
 /// What has passed through since the start.
@@ -153,6 +160,10 @@
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     member_budget: Budget,
     fact_budget: Budget,
+    agreed_budget: Budget,
+    agreed: Option<Agreed>,
+    noticed: Notice,
+    next_notice: Micros,
     next_round: Micros,
     next_compare: Micros,
     next_join: Micros,
@@ -160,6 +171,7 @@
     next_behind: Micros,
     counters: Counters,
     left: bool,
+    wrong: Option<agreed::store::Unusable>,
 }
 
 impl Fleet {
@@ -171,7 +183,8 @@
         let now = pace.look(clock);
         let mut facts = Facts::new(&me.name, me.session);
         facts.tell(now, ABOUT, &options.about.write(), ROUNDS);
-        Fleet {
+        let agreed = options.agreed;
+        let mut fleet = Fleet {
             facts,
             seal: Seal::new(options.keys, me.session),
             members: Members::new(me, rng.random()),
@@ -180,6 +193,10 @@
             out: VecDeque::new(),
             member_budget: Budget::new(MEMBERS_A_SECOND),
             fact_budget: Budget::new(FACTS_A_SECOND),
+            agreed_budget: Budget::new(AGREED_A_SECOND),
+            agreed: None,
+            noticed: Notice::default(),
+            next_notice: now,
             // All that start at the same moment must not ask at the same moment for ever.
             next_join: now + rng.random_range(0..JOIN / 4),
             next_round: now + rng.random_range(0..ROUND),
@@ -189,7 +206,57 @@
             rng,
             counters: Counters::default(),
             left: false,
+            wrong: None,
+        };
+        if let Some(options) = agreed {
+            fleet.wrong = fleet.open_agreed(options);
         }
+        fleet
+    }
+
+    /// Takes part in what is agreed from now on. What is wrong with what was kept, if anything is: it is left as it is then,
+    /// and this one only reads and asks.
+    pub fn open_agreed(&mut self, options: agreed::Options) -> Option<agreed::store::Unusable> {
+        let me = self.members.me();
+        let (agreed, wrong) = Agreed::new(&me.name, me.session, self.rng.random(), options);
+        self.agreed = Some(agreed);
+        wrong
+    }
+
+    /// What was wrong with what was kept, at the start.
+    pub fn wrong(&self) -> Option<&agreed::store::Unusable> {
+        self.wrong.as_ref()
+    }
+
+    /// Our part in what is agreed, if we take part.
+    pub fn agreed(&self) -> Option<&Agreed> {
+        self.agreed.as_ref()
+    }
+
+    /// Does something with our part, at this time of the host's clock, and sends what follows of it.
+    pub fn with_agreed<T>(
+        &mut self,
+        clock: Micros,
+        work: impl FnOnce(&mut Agreed, Micros) -> T,
+    ) -> Option<T> {
+        let now = self.pace.now();
+        let done = self.agreed.as_mut().map(|a| work(a, clock));
+        self.send_agreed(now);
+        done
+    }
+
+    /// The next thing to keep of what is agreed.
+    pub fn to_keep(&mut self) -> Option<agreed::replica::Write> {
+        self.agreed.as_mut()?.to_keep()
+    }
+
+    /// All up to this write outlives the process now.
+    pub fn kept(&mut self, number: u64) {
+        let now = self.pace.now();
+        if let Some(agreed) = &mut self.agreed {
+            agreed.kept(now, number);
+        }
+        self.send_agreed(now);
     }
 
     /// A datagram has come. All that have come are to be taken before [`Fleet::tick`]: what others said while this process
@@ -246,10 +313,23 @@
                     self.send(now, &to, Payload::Digest, &ask);
                 }
             }
+            Payload::Agreed => {
+                let Some(name) = self.name_of(from) else { return };
+                if let Some(agreed) = &mut self.agreed {
+                    agreed.take(now, clock, &name, bytes);
+                }
+                self.send_agreed(now);
+            }
             Payload::Unknown(_) => self.counters.unknown_kind += 1,
         }
     }
 
+    /// Who has this session, of those that are known, be they called down or not.
+    fn name_of(&self, session: u64) -> Option<String> {
+        let now = self.pace.now();
+        self.members.known(now).find(|k| k.0.session == session).map(|k| k.0.name.clone())
+    }
+
     /// Time has passed.
     pub fn tick(&mut self, clock: Micros) {
         let now = self.pace.look(clock);
@@ -272,6 +352,49 @@
             self.next_look = now + LOOK;
             self.look(now);
         }
+        self.tick_agreed(now, clock);
+    }
+
+    fn tick_agreed(&mut self, now: Micros, clock: Micros) {
+        let Some(agreed) = &mut self.agreed else { return };
+        let (members, facts) = (&self.members, &self.facts);
+        agreed.tick(now, clock, || {
+            let mut peers: Vec<Peer> = members
+                .known(now)
+                .map(|(id, standing, long)| Peer {
+                    name: id.name.clone(),
+                    stands: (standing, long),
+                    zone: facts
+                        .get(now, &id.name, ABOUT)
+                        .and_then(|f| About::read(f.value))
+                        .map_or(String::new(), |a| a.zone),
+                    notice: facts.get(now, &id.name, AGREED).and_then(|f| Notice::read(f.value)),
+                })
+                .collect();
+            // Of one name the one that is there counts.
+            peers.sort_by(|a, b| (&a.name, b.stands.0).cmp(&(&b.name, a.stands.0)));
+            peers
+        });
+        if now >= self.next_notice {
+            let notice = agreed.notice();
+            if notice != self.noticed {
+                self.next_notice = now + NOTICE;
+                let bytes = notice.write();
+                self.noticed = notice;
+                self.tell(AGREED, &bytes);
+            }
+        }
+        self.send_agreed(now);
+    }
+
+    fn send_agreed(&mut self, now: Micros) {
+        while let Some((name, bytes)) = self.agreed.as_mut().and_then(Agreed::to_send) {
+            // Who is called down may be cut off from others alone: what is for it goes where it was last.
+            let known = self.members.known(now).filter(|k| k.0.name == name).min_by_key(|k| k.1);
+            if let Some(to) = known.map(|k| k.0.clone()) {
+                self.send(now, &to, Payload::Agreed, &bytes);
+            }
+        }
     }
 
     /// When [`Fleet::tick`] is due next, by the host's clock.
@@ -392,6 +515,9 @@
             let (session, rounds) = (self.me().session, self.rounds());
             self.seal.change_session(session);
             self.facts.outdo(now, session, rounds);
+            if let Some(agreed) = &mut self.agreed {
+                agreed.change_session(session);
+            }
             self.next_join = now;
         }
     }
@@ -428,6 +554,7 @@
     fn send(&mut self, now: Micros, to: &Identity, payload: Payload, bytes: &[u8]) {
         let budget = match payload {
             Payload::Members => &mut self.member_budget,
+            Payload::Agreed => &mut self.agreed_budget,
             _ => &mut self.fact_budget,
         };
         if self.out.len() >= OUT_MOST || !budget.take(now, bytes.len()) {
@@ -493,7 +620,8 @@
         let keys = Keyring::of(Key::parse("000102030405060708090a0b0c0d0e0f").unwrap());
         let addr = |n: u8| SocketAddr::from(([127, 0, 0, n], 1));
         let me = Identity { name: "m1".into(), addr: addr(1), session: 7, back: 0 };
-        let options = Options { me, about: About::default(), keys, seeds: vec![addr(2)], seed: 1 };
+        let options =
+            Options { me, about: About::default(), keys, seeds: vec![addr(2)], seed: 1, agreed: None };
         let mut clock = 1_000_000_000;
         let mut fleet = Fleet::new(clock, options);
         fleet.tick(clock);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use driftfront_fleet::seal::{Payload, Seal};
 use driftfront_fleet::{About, Fleet, Identity, Micros, Options, Standing};
+use driftfront_lab::rights::Load;
 use driftfront_lab::world::{addr, keys, name, Seen};
 use driftfront_lab::{percentile, storm, Script, World};
 use rand::rngs::SmallRng;
@@ -16,6 +17,10 @@
     though it was there, and what each sends
 driftfront-lab storm [--members N] [--runs K] [--seed N]
     storms of faults drawn by their seeds, then quiet: how long until all have one view again; a seed that does not is named
+driftfront-lab agreed [--members N] [--voters N] [--keeps] [--runs K] [--seed N]
+    the same storms over members that ask for rights: whether any is ever held twice, and how long until one leads again
+driftfront-lab leader [--members N] [--voters N] [--runs K] [--seed N] [--loss PART]
+    the leader is killed after 40 s: how long until another leads, and until the next request is answered
 driftfront-lab fuzz [--runs N] [--seed N]
     spoilt datagrams, and well sealed ones with spoilt payloads, into one member that goes on talking to another
 driftfront-lab play SCRIPT
@@ -118,7 +123,10 @@
         let me =
             Identity { name: name(u32::from(n)), addr: addr(u32::from(n)), session: u64::from(n), back: 0 };
         let seeds = vec![addr(1), addr(2)];
-        Fleet::new(0, Options { me, about: About::default(), keys: keys(), seeds, seed: rng.random() })
+        Fleet::new(
+            0,
+            Options { me, about: About::default(), keys: keys(), seeds, seed: rng.random(), agreed: None },
+        )
     };
     let (mut target, mut peer) = (fleet(1, &mut rng), fleet(2, &mut rng));
     let mut forger = Seal::new(keys(), 99);
@@ -247,6 +255,107 @@
     }
 }
 
+/// Members that ask for rights through storms of faults.
+fn agreed(mut args: pico_args::Arguments) -> Result<(), String> {
+    let keeps = args.contains("--keeps");
+    let members = number(&mut args, "--members", 6u32)?;
+    let voters = number(&mut args, "--voters", 3u32)?;
+    let (runs, first) = (number(&mut args, "--runs", 100u64)?, number(&mut args, "--seed", 1u64)?);
+    let (mut wrong, mut never, mut took) = (Vec::new(), Vec::new(), Vec::new());
+    let (mut lent, mut unanswered, mut leaders, mut replaced, mut lost) = (0, 0, 0, 0, 0);
+    for seed in first..first + runs {
+        let mut script = storm::storm(members, seed, true);
+        (script.voters, script.keeps) = (voters, keeps);
+        let mut world = World::new(script);
+        world.ask(Load { one_in: 10, ..Load::default() });
+        world.play(storm::QUIET, |_| false);
+        let owed = storm::QUIET + storm::OWED;
+        while world.led().is_none() && world.time() < owed {
+            let next = world.time() + S / 10;
+            world.play(next, |_| false);
+        }
+        match world.led() {
+            Some(_) => took.push(world.time() - storm::QUIET),
+            None => never.push(seed),
+        }
+        world.play(owed + 10 * S, |_| false);
+        let rights = world.rights.as_ref().ok_or("no rights")?;
+        wrong.extend(rights.wrong.iter().map(|w| format!("seed {seed}: {w}")));
+        (lent, unanswered) = (lent + rights.lent, unanswered + rights.unanswered);
+        for m in world.living() {
+            let Some(c) = world.fleet(m).and_then(|f| f.agreed()).map(|a| a.counters()) else { continue };
+            (leaders, replaced, lost) = (leaders + c.leaders, replaced + c.changes, lost + c.replicas_lost);
+        }
+    }
+    took.sort_unstable();
+    println!("members {members}, voters {voters}, logs kept: {keeps}, {runs} storms from seed {first}");
+    println!(
+        "  lent {lent} times, {unanswered} requests with no answer in time; held twice: {}",
+        wrong.len()
+    );
+    println!("  leaders seen {leaders}, steps in who decides {replaced}, replicas let go {lost}");
+    println!(
+        "  somebody leads again after p50 {:.2} s  p99 {:.2} s  max {:.2} s; never within the time owed: {never:?}",
+        percentile(&took, 0.5),
+        percentile(&took, 0.99),
+        percentile(&took, 1.0)
+    );
+    wrong.iter().take(20).for_each(|w| println!("  {w}"));
+    if wrong.is_empty() && never.is_empty() {
+        Ok(())
+    } else {
+        Err("a right was held twice, or nobody led".into())
+    }
+}
+
+/// How long nothing is agreed once the leader is gone.
+fn leader(mut args: pico_args::Arguments) -> Result<(), String> {
+    let members = number(&mut args, "--members", 5u32)?;
+    let voters = number(&mut args, "--voters", 3u32)?;
+    let loss = number(&mut args, "--loss", 0f64)?;
+    let (runs, first) = (number(&mut args, "--runs", 100u64)?, number(&mut args, "--seed", 1u64)?);
+    let (mut led, mut answered, mut usual) = (Vec::new(), Vec::new(), Vec::new());
+    for seed in first..first + runs {
+        let mut world = World::new(Script::read(&format!(
+            "members {members}\nvoters {voters} keeps=#true\nseed {seed}\n\
+             link \"all\" \"all\" loss={loss:.3} delay=\"1 ms\" jitter=\"1 ms\""
+        ))?);
+        world.ask(Load { one_in: 4, pots: 100, span: 2 * S, patience: 30 * S });
+        world.play(40 * S, |_| false);
+        let Some(old) = world.led() else { return Err(format!("seed {seed}: nobody leads")) };
+        world.now(&format!("kill \"m{old}\""));
+        while world.led().is_none() && world.time() < 60 * S {
+            let next = world.time() + S / 100;
+            world.play(next, |_| false);
+        }
+        led.push(world.time() - 40 * S);
+        world.play(60 * S, |_| false);
+        let rights = world.rights.as_ref().ok_or("no rights")?;
+        usual.extend(rights.times(33 * S, 40 * S));
+        answered.extend(
+            rights.answered.iter().map(|a| a.0).find(|&at| at > 40 * S + S / 10).map(|at| at - 40 * S),
+        );
+    }
+    for times in [&mut led, &mut answered, &mut usual] {
+        times.sort_unstable();
+    }
+    let row = |what: &str, times: &[Micros]| {
+        let at = |part| percentile(times, part);
+        println!(
+            "  {what:<28} p50 {:.3} s  p99 {:.3} s  max {:.3} s  of {}",
+            at(0.5),
+            at(0.99),
+            at(1.0),
+            times.len()
+        );
+    };
+    println!("members {members}, voters {voters}, loss {loss}, {runs} runs from seed {first}");
+    row("another leads after", &led);
+    row("a request is answered after", &answered);
+    row("a request takes otherwise", &usual);
+    Ok(())
+}
+
 fn play(mut args: pico_args::Arguments) -> Result<(), String> {
     let path: String = args.free_from_str().map_err(|e| e.to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
@@ -267,6 +376,8 @@
         Ok(Some(command)) if command == "members" => members(args),
         Ok(Some(command)) if command == "fuzz" => fuzz(args),
         Ok(Some(command)) if command == "storm" => storms(args),
+        Ok(Some(command)) if command == "agreed" => agreed(args),
+        Ok(Some(command)) if command == "leader" => leader(args),
         Ok(Some(command)) if command == "play" => play(args),
         _ => {
             println!("{USAGE}");
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -2,6 +2,7 @@
 //!
 //! ```kdl
 //! members 8 zones=2            // m0 .. m7, zone z0, z1 in turn
+//! voters 3 keeps=#true         // m0 .. m2 keep a log of what is agreed, on disk where they keep it
 //! seed 7
 //! until "40 s"
 //! link "all" "all" delay="2 ms" jitter="1 ms"
@@ -166,6 +167,10 @@
     pub members: u32,
     /// See `members`.
     pub zones: u32,
+    /// The first so many are the first voters of what is agreed; 0: nothing is.
+    pub voters: u32,
+    /// What they agree on is kept on disk.
+    pub keeps: bool,
     /// For all that is drawn at random.
     pub seed: u64,
     /// When it ends.
@@ -283,7 +288,15 @@
             format!("line {}: no KDL", text[..offset].matches('\n').count() + 1)
         })?;
         let reader = Reader(text);
-        let mut script = Script { members: 3, zones: 1, seed: 1, until: 30_000_000, deeds: Vec::new() };
+        let mut script = Script {
+            members: 3,
+            zones: 1,
+            voters: 0,
+            keeps: false,
+            seed: 1,
+            until: 30_000_000,
+            deeds: Vec::new(),
+        };
         for node in document.nodes() {
             let number = || -> Result<u64, String> {
                 let first = reader.arguments(node).first().and_then(|e| e.value().as_integer());
@@ -301,6 +314,10 @@
                     let zones = node.get("zones").and_then(|z| z.as_integer()).unwrap_or(1);
                     script.zones = u32::try_from(zones).unwrap_or(1).max(1);
                 }
+                "voters" => {
+                    script.voters = number()?.min(5) as u32;
+                    script.keeps = node.get("keeps").and_then(|k| k.as_bool()).unwrap_or(false);
+                }
                 "seed" => script.seed = number()?,
                 "until" => script.until = span()?,
                 "at" => {
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -58,5 +58,5 @@
     ];
     deeds.extend(last.into_iter().map(|d| (QUIET, d)));
     deeds.sort_by_key(|d| d.0);
-    Script { members, zones, seed, until: QUIET + OWED, deeds }
+    Script { members, zones, voters: 0, keeps: false, seed, until: QUIET + OWED, deeds }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,16 +1,22 @@
 //! Many members and the network between them, on virtual time: one thread, one seed, the same to the byte each time.
 
+use crate::rights::{Load, Rights};
 use crate::script::{Deed, Link, Links, Script};
-use driftfront_fleet::{About, Counters, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
+use driftfront_fleet::agreed::replica::Write;
+use driftfront_fleet::{agreed, About, Counters, Fleet, Identity, Key, Keyring, Micros, Options, Standing};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+/// What clocks show at a script's beginning: later than any script sets one back.
+const BEGIN: Micros = 100_000_000_000;
 /// A process looks at its timers this often.
 const SWEEP: Micros = 25_000;
 /// Datagrams that a process's socket holds while it stands still.
 const SOCKET_HOLDS: usize = 256;
+/// A voter that is down for so long is replaced.
+const REPLACE_AFTER: Micros = 10_000_000;
 /// Members whose addresses all are told at their start.
 const SEEDS: u32 = 3;
 
@@ -23,11 +29,18 @@
     clock: i64,
     /// Counts of its earlier lives.
     before: Counters,
+    /// What its disk holds, and what waits to be.
+    disk: Vec<u8>,
+    writes: VecDeque<Write>,
+    /// Which life it is in: what one wrote is nothing to the next.
+    life: u32,
 }
 
 enum Event {
     Look(u32),
     Deliver(u32, Vec<u8>),
+    /// A write of that life is on the disk.
+    Kept(u32, u32),
 }
 
 /// A member's view of another's standing, and when it came to be.
@@ -59,6 +72,8 @@
     pub seen: Vec<Seen>,
     /// A sum over all that was sent, for comparing runs.
     pub trace: u64,
+    /// Members that ask for rights, and what is held: see [`World::ask`].
+    pub rights: Option<Rights>,
 }
 
 /// The name of a member.
@@ -99,9 +114,12 @@
             socket: VecDeque::new(),
             clock: 0,
             before: Counters::default(),
+            disk: Vec::new(),
+            writes: VecDeque::new(),
+            life: 0,
         };
         let mut world = World {
-            now: 1_000_000_000,
+            now: BEGIN,
             next_deed: 0,
             processes: (0..script.members).map(process).collect(),
             links: Links::new(script.members, script.zones, Link::default()),
@@ -111,6 +129,7 @@
             views: BTreeMap::new(),
             seen: Vec::new(),
             trace: 0xcbf2_9ce4_8422_2325,
+            rights: None,
             script,
         };
         for member in 0..world.script.members {
@@ -121,7 +140,36 @@
 
     /// Time since the script's beginning.
     pub fn time(&self) -> Micros {
-        self.now - 1_000_000_000
+        self.now - BEGIN
+    }
+
+    /// Does what this line of a script says, now.
+    pub fn now(&mut self, line: &str) {
+        let script = Script::read(line).expect("a line of a script");
+        for (_, deed) in script.deeds {
+            self.deed(deed);
+        }
+    }
+
+    /// From now on members ask for rights, and it is looked at whether any is held twice.
+    pub fn ask(&mut self, load: Load) {
+        self.rights = Some(Rights::new(load, self.script.seed));
+    }
+
+    /// Each has a replica of the log or a copy of what is agreed, and some member leads.
+    pub fn led(&mut self) -> Option<u32> {
+        let leads = |f: &Fleet| f.agreed().and_then(|a| a.replica()).is_some_and(|r| r.leads());
+        self.living().into_iter().find(|&m| self.processes[m as usize].fleet.as_ref().is_some_and(leads))
+    }
+
+    /// A member's disk, to be spoilt.
+    pub fn disk(&mut self, member: u32) -> &mut Vec<u8> {
+        &mut self.processes[member as usize].disk
+    }
+
+    /// What a member's clock shows.
+    pub fn clock_of(&self, member: u32) -> Micros {
+        self.clock(member)
     }
 
     /// A member's fleet, while it lives.
@@ -194,7 +242,17 @@
             ..About::default()
         };
         let seeds = (0..SEEDS.min(self.script.members)).map(addr).collect();
-        let options = Options { me, about, keys: keys(), seeds, seed };
+        let founders = (0..self.script.voters).map(name).collect();
+        let file = self.script.keeps.then(|| p.disk.clone());
+        let asked =
+            agreed::Options { founders, replace_after: REPLACE_AFTER, zone: about.zone.clone(), file };
+        let agreed = (self.script.voters > 0).then_some(asked);
+        let options = Options { me, about, keys: keys(), seeds, seed, agreed };
+        p.life += 1;
+        p.writes.clear();
+        if let Ok(loaded) = agreed::store::read(&p.disk) {
+            p.disk.truncate(loaded.well);
+        }
         p.fleet = Some(Fleet::new(clock, options));
         p.socket.clear();
         p.stopped = false;
@@ -210,6 +268,15 @@
         let p = &mut self.processes[member as usize];
         p.before = before;
         p.fleet = None;
+        // The write under way is torn where the power went.
+        if let Some(write) = p.writes.pop_front().filter(|w| !w.anew) {
+            let torn = self.rng.random_range(0..=write.bytes.len());
+            p.disk.extend_from_slice(&write.bytes[..torn]);
+        }
+        p.writes.clear();
+        if let Some(rights) = &mut self.rights {
+            rights.ended(member);
+        }
         p.socket.clear();
         // What it saw is not asked any more.
         self.views.retain(|(by, _), _| *by != member);
@@ -239,22 +306,72 @@
         if look {
             fleet.tick(clock);
         }
-        let mut sends = Vec::new();
+        if let (true, Some(rights)) = (look, self.rights.as_mut()) {
+            rights.go_on(member, self.now - BEGIN, clock, fleet);
+        }
+        self.hand_on(member);
+    }
+
+    /// Sends and keeps what a process has ready.
+    fn hand_on(&mut self, member: u32) {
+        let p = &mut self.processes[member as usize];
+        let Some(fleet) = p.fleet.as_mut() else { return };
+        let (mut sends, mut kept, life) = (Vec::new(), 0, p.life);
         while let Some(send) = fleet.to_send() {
             sends.push(send);
         }
+        while let Some(write) = fleet.to_keep() {
+            p.writes.push_back(write);
+            kept += 1;
+        }
+        for _ in 0..kept {
+            let after = self.rng.random_range(500..8_000);
+            self.push(self.now + after, Event::Kept(member, life));
+        }
         for (to, bytes) in sends {
             self.carry(member, to, bytes);
         }
     }
 
+    /// The disk has taken the next write.
+    fn keep(&mut self, member: u32, life: u32) {
+        let p = &mut self.processes[member as usize];
+        if p.life != life {
+            return;
+        }
+        if p.stopped {
+            return self.push(self.now + SWEEP, Event::Kept(member, life));
+        }
+        let (Some(fleet), Some(write)) = (p.fleet.as_mut(), p.writes.pop_front()) else { return };
+        if write.anew {
+            p.disk.clear();
+        }
+        // As the program opens it: whatever was torn is cut before anything is written behind it.
+        p.disk.extend_from_slice(&write.bytes);
+        fleet.kept(write.number);
+        self.hand_on(member);
+    }
+
+    /// Looks whether of any pot more is held than there is, by what each would do now.
+    fn check(&mut self) {
+        let Some(mut rights) = self.rights.take() else { return };
+        for member in self.living() {
+            let clock = self.clock(member);
+            if let Some(agreed) = self.processes[member as usize].fleet.as_ref().and_then(Fleet::agreed) {
+                rights.holds(member, clock, agreed);
+            }
+        }
+        rights.check(self.now - BEGIN);
+        self.rights = Some(rights);
+    }
+
     /// Notes what has changed in how a member sees the others.
     fn watch(&mut self, by: u32) {
         let Some(fleet) = self.processes[by as usize].fleet.as_ref() else { return };
         for view in fleet.members().into_iter().filter(|v| !v.is_me) {
             let Some(of) = view.name.strip_prefix('m').and_then(|n| n.parse().ok()) else { continue };
             if self.views.insert((by, of), view.standing) != Some(view.standing) {
-                self.seen.push(Seen { at: self.now - 1_000_000_000, by, of, standing: Some(view.standing) });
+                self.seen.push(Seen { at: self.now - BEGIN, by, of, standing: Some(view.standing) });
             }
         }
     }
@@ -298,9 +415,9 @@
     /// Plays on until this time of the script, or until this holds; whether it does.
     pub fn play(&mut self, until: Micros, holds: impl Fn(&World) -> bool) -> bool {
         while self.time() < until {
-            let due = self.script.deeds.get(self.next_deed).map(|d| d.0 + 1_000_000_000);
+            let due = self.script.deeds.get(self.next_deed).map(|d| d.0 + BEGIN);
             let next = self.queue.first_key_value().map(|e| e.0 .0);
-            let end = until + 1_000_000_000;
+            let end = until + BEGIN;
             let at = due.into_iter().chain(next).min().unwrap_or(end);
             if at > end {
                 self.now = end;
@@ -333,8 +450,10 @@
                         self.work(to, false);
                     }
                 }
+                Some(Event::Kept(m, life)) => self.keep(m, life),
                 None => {}
             }
+            self.check();
         }
         holds(self)
     }
--- /dev/null
+++ b/crates/lab/tests/agreed.rs
@@ -0,0 +1,222 @@
+//! What is agreed, under faults, on virtual time: the real unit with the real engine of the log, disks that tear, clocks that
+//! jump.
+
+use driftfront_fleet::agreed::Role;
+use driftfront_lab::rights::Load;
+use driftfront_lab::{Script, World};
+
+const S: u64 = 1_000_000;
+
+fn world(script: &str) -> World {
+    World::new(Script::read(script).expect("a script"))
+}
+
+fn role(w: &mut World, member: u32) -> Option<Role> {
+    w.fleet(member)?.agreed().map(|a| a.view().part)
+}
+
+/// Plays until some member leads; when that was.
+fn led(w: &mut World, until: u64) -> (u32, u64) {
+    while w.time() < until {
+        if let Some(leader) = w.led() {
+            return (leader, w.time());
+        }
+        let next = w.time() + S / 10;
+        w.play(next, |_| false);
+    }
+    panic!("nobody leads at {until}");
+}
+
+fn assert_right(w: &World) {
+    let rights = w.rights.as_ref().expect("asked");
+    assert!(rights.wrong.is_empty(), "{:?}", rights.wrong);
+}
+
+#[test]
+fn founders_agree_and_all_may_ask_and_read() {
+    for (members, voters, keeps) in [(3, 3, true), (8, 3, false), (12, 5, true)] {
+        let mut w = world(&format!("members {members}\nvoters {voters} keeps=#{keeps}"));
+        let (_, at) = led(&mut w, 10 * S);
+        assert!(at < 6 * S, "founded after {at}");
+        w.ask(Load::default());
+        // Nothing is lent while rights of an earlier log may hold.
+        w.play(25 * S, |_| false);
+        assert_eq!(w.rights.as_ref().unwrap().lent, 0);
+        w.play(60 * S, |_| false);
+        assert_right(&w);
+        let rights = w.rights.as_ref().unwrap();
+        assert!(rights.lent > 20, "lent {}", rights.lent);
+        let owners: std::collections::BTreeSet<u32> = rights.fences.values().map(|f| f.1).collect();
+        assert!(owners.len() as u32 == members, "{owners:?}");
+        for m in 0..members {
+            let wanted = if m < voters { Role::Votes } else { Role::Reads };
+            assert_eq!(role(&mut w, m), Some(wanted), "m{m}");
+            let view = w.fleet(m).unwrap().agreed().unwrap().view();
+            assert_eq!((view.voters.len() as u32, view.leader.is_some()), (voters, true), "m{m}");
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_dies_is_followed_by_another_and_nothing_is_lent_twice() {
+    for seed in 1..=8 {
+        let mut w = world(&format!("members 5\nvoters 3 keeps=#true\nseed {seed}"));
+        let (leader, _) = led(&mut w, 10 * S);
+        w.ask(Load::default());
+        w.play(40 * S, |_| false);
+        let before = w.rights.as_ref().unwrap().lent;
+        assert!(before > 0);
+        w.now(&format!("kill \"m{leader}\""));
+        let (next, at) = led(&mut w, 50 * S);
+        assert!(next != leader && at < 44 * S, "seed {seed}: m{next} leads at {at}");
+        w.play(48 * S, |_| false);
+        w.now(&format!("start \"m{leader}\""));
+        w.play(60 * S, |_| false);
+        assert_right(&w);
+        assert!(w.rights.as_ref().unwrap().lent > before, "seed {seed}");
+        assert_eq!(role(&mut w, leader), Some(Role::Votes));
+    }
+}
+
+#[test]
+fn a_leader_that_was_stopped_and_wakes_acts_on_nothing_and_leads_nobody() {
+    for seed in 1..=8 {
+        let mut w = world(&format!("members 5\nvoters 3\nseed {seed}"));
+        let (leader, _) = led(&mut w, 10 * S);
+        w.ask(Load { one_in: 8, ..Load::default() });
+        w.play(40 * S, |_| false);
+        w.now(&format!("stop \"m{leader}\""));
+        let (next, _) = led(&mut w, 46 * S);
+        w.play(48 * S, |_| false);
+        let lent = w.rights.as_ref().unwrap().lent;
+        w.now(&format!("wake \"m{leader}\""));
+        w.play(70 * S, |_| false);
+        assert_right(&w);
+        assert!(w.rights.as_ref().unwrap().lent > lent, "seed {seed}");
+        let now = w.led();
+        assert!(now.is_some() && next != leader);
+    }
+}
+
+#[test]
+fn a_minority_agrees_on_nothing_new_and_what_it_holds_ends_by_itself() {
+    let mut w = world("members 6\nvoters 3 keeps=#true\nseed 4");
+    led(&mut w, 10 * S);
+    w.ask(Load { one_in: 8, ..Load::default() });
+    w.play(40 * S, |_| false);
+    // m0 alone with a reader, m1 and m2 with the others.
+    w.now("cut \"m0\" \"m3\"");
+    w.play(50 * S, |_| false);
+    assert_right(&w);
+    for m in [0, 3] {
+        let clock = w.clock_of(m);
+        let agreed = w.fleet(m).unwrap().agreed().unwrap();
+        assert!(agreed.held().keys().all(|&f| !agreed.holds(f, clock)), "m{m} acts on {:?}", agreed.held());
+        assert_eq!(agreed.view().leader, None, "m{m} sees that there is no majority");
+    }
+    let lent = |w: &World, of: &[u32]| {
+        w.rights.as_ref().unwrap().fences.values().filter(|f| of.contains(&f.1)).count()
+    };
+    let (small, large) = (lent(&w, &[0, 3]), lent(&w, &[1, 2, 4, 5]));
+    w.play(58 * S, |_| false);
+    assert_eq!(lent(&w, &[0, 3]), small, "a minority lends nothing");
+    assert!(lent(&w, &[1, 2, 4, 5]) > large);
+    w.now("heal");
+    w.play(75 * S, |_| false);
+    assert!(lent(&w, &[0, 3]) > small);
+    assert_right(&w);
+}
+
+#[test]
+fn voters_that_lose_their_logs_one_after_another_get_their_seats_again() {
+    let mut w = world("members 5\nvoters 3\nseed 2");
+    led(&mut w, 10 * S);
+    w.ask(Load::default());
+    for (n, at) in [(0, 40), (1, 50), (2, 60)] {
+        w.play(at * S, |_| false);
+        w.now(&format!("kill \"m{n}\""));
+        w.play((at + 1) * S, |_| false);
+        w.now(&format!("start \"m{n}\""));
+    }
+    w.play(75 * S, |_| false);
+    assert_right(&w);
+    for m in 0..3 {
+        assert_eq!(role(&mut w, m), Some(Role::Votes), "m{m}");
+    }
+    let lent = w.rights.as_ref().unwrap().lent;
+    w.play(90 * S, |_| false);
+    assert!(w.rights.as_ref().unwrap().lent > lent);
+}
+
+#[test]
+fn a_voter_that_is_gone_for_good_is_replaced_and_knows_it_when_it_comes_back() {
+    let mut w = world("members 6 zones=3\nvoters 3 keeps=#true\nseed 3");
+    let (leader, _) = led(&mut w, 10 * S);
+    let victim = (leader + 1) % 3;
+    w.ask(Load::default());
+    w.play(40 * S, |_| false);
+    w.now(&format!("kill \"m{victim}\""));
+    w.play(70 * S, |_| false);
+    let voters = |w: &mut World| w.fleet(leader).unwrap().agreed().unwrap().view().voters;
+    let names: Vec<String> = voters(&mut w).into_iter().map(|v| v.0).collect();
+    assert!(names.len() == 3 && !names.contains(&format!("m{victim}")), "{names:?}");
+    // Of its zone, since that one had no voter left.
+    assert!(names.contains(&format!("m{}", victim + 3)), "{names:?}");
+    w.now(&format!("start \"m{victim}\""));
+    w.play(85 * S, |_| false);
+    assert_eq!(role(&mut w, victim), Some(Role::Reads));
+    // Two of the three there now are enough, and the one that was let in is one of them.
+    w.now(&format!("kill \"m{leader}\""));
+    let lent = w.rights.as_ref().unwrap().lent;
+    w.play(94 * S, |_| false);
+    assert!(w.rights.as_ref().unwrap().lent > lent);
+    assert_right(&w);
+}
+
+#[test]
+fn all_that_are_killed_at_once_go_on_where_they_stood_from_their_disks() {
+    for seed in 1..=5 {
+        let mut w = world(&format!("members 3\nvoters 3 keeps=#true\nseed {seed}"));
+        led(&mut w, 10 * S);
+        w.ask(Load { span: 20 * S, ..Load::default() });
+        w.play(45 * S, |_| false);
+        let fences: Vec<u64> = w.rights.as_ref().unwrap().fences.keys().copied().collect();
+        assert!(!fences.is_empty());
+        w.now("kill \"all\"");
+        w.now("start \"all\"");
+        led(&mut w, 60 * S);
+        w.play(61 * S, |_| false);
+        let view = w.fleet(0).unwrap().agreed().unwrap().view();
+        // Numbers go on above all that were lent, and no time of silence begins anew.
+        assert!(view.index > 1);
+        w.play(75 * S, |_| false);
+        let rights = w.rights.as_ref().unwrap();
+        assert!(rights.fences.keys().max() > fences.iter().max(), "seed {seed}");
+        assert_right(&w);
+    }
+}
+
+#[test]
+fn storms_over_voters_never_have_a_right_held_twice_and_leave_a_leader_behind() {
+    for seed in 1..=16 {
+        let mut script = driftfront_lab::storm::storm(6, seed, true);
+        (script.voters, script.keeps) = (if seed % 3 == 0 { 5 } else { 3 }, seed % 2 == 0);
+        let mut w = World::new(script);
+        w.ask(Load { one_in: 10, ..Load::default() });
+        w.play(driftfront_lab::storm::QUIET + 60 * S, |_| false);
+        assert_right(&w);
+        assert!(w.led().is_some(), "seed {seed}: nobody leads");
+        assert!(w.rights.as_ref().unwrap().lent > 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn what_is_agreed_is_the_same_to_the_byte_on_one_seed() {
+    let run = || {
+        let mut w = world("members 6\nvoters 3 keeps=#true\nseed 9\nat \"40 s\" { kill \"m1\" }");
+        w.ask(Load::default());
+        w.play(50 * S, |_| false);
+        (w.trace, w.rights.unwrap().fences)
+    };
+    assert_eq!(run(), run());
+}
--- a/crates/node/src/node/fleet.rs
+++ b/crates/node/src/node/fleet.rs
@@ -91,8 +91,14 @@
             state: State::Starting,
             since_ms: clock / 1000,
         };
-        let options =
-            Options { me, about: about.clone(), keys, seeds, seed: crate::net::hash(&session.to_le_bytes()) };
+        let options = Options {
+            me,
+            about: about.clone(),
+            keys,
+            seeds,
+            seed: crate::net::hash(&session.to_le_bytes()),
+            agreed: None,
+        };
         let unit = Fleet::new(clock, options);
         self.watch(socket.clone(), Source::Fleet).map_err(|e| format!("fleet: {e}"))?;
         tracing::info!(%here, "fleet");
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -181,8 +181,10 @@
     let about = About { build: "9.9.9".into(), ..About::default() };
     let seeds = vec![rig.net.public(0)];
     let begun = std::time::Instant::now();
-    let mut later =
-        Fleet::new(0, driftfront_fleet::Options { me, about: about.clone(), keys: keys(), seeds, seed: 3 });
+    let mut later = Fleet::new(
+        0,
+        driftfront_fleet::Options { me, about: about.clone(), keys: keys(), seeds, seed: 3, agreed: None },
+    );
     // A field in its record, a kind of record and a kind of payload that nobody here has heard of.
     let mut record = about.write();
     record.extend([77, 2, 1, 2]);
