Holds over the whole fleet: the agreed log in the program, its file, commands, a rig that asks

Coordinators also find each other by `coordinator` lines of the engines' list. state.rs and the log share one writer (disk.rs).

It is asked of members and their notices now. - a disk that lost what it had said it kept made raft panic ("to_commit 2 is out of range [last_index 1]") and the replica stay broken; it is let in anew under another id. - fencing numbers above 2^53 came out of JSON wrong (two holds under one number): they begin at seconds << 20. - nothing is lent for 10 s after a founding, not 30: where logs are not kept no right is longer.

--- a/crates/console/src/words.rs
+++ b/crates/console/src/words.rs
@@ -1,6 +1,6 @@
 //! Plain words for how things stand.
 
-use driftfront_control::snapshot::{Class, Engine, Member, Query, Service, Snapshot};
+use driftfront_control::snapshot::{Agreed, Class, Engine, Held, Member, Query, Service, Snapshot, Voter};
 
 /// An engine with work out that has said nothing for this long is worth a word, in milliseconds.
 pub const SILENT_MS: u64 = 3_000;
@@ -122,6 +122,7 @@
         alarms.push(format!("The list of engines is {} old: {} says nothing.", span(age), s.source));
     }
     alarms.extend(fleet_alarms(s));
+    alarms.extend(s.agreed.as_ref().and_then(agreed_alarm));
     alarms
 }
 
@@ -177,6 +178,55 @@
     Table { heads, rows: s.members.iter().map(row).collect() }
 }
 
+/// What is agreed, in a line or two above the table of what is held.
+pub fn agreed(a: &Agreed) -> String {
+    if !a.missing.is_empty() {
+        return format!("Nothing is agreed yet: {} must come, without a log.\n", a.missing.join(", "));
+    }
+    if a.voters.is_empty() {
+        return "Nothing is agreed: no coordinator's file names voters, or none of them is heard.\n".into();
+    }
+    let voter = |v: &Voter| if v.there { v.name.clone() } else { format!("{} (gone)", v.name) };
+    let leads = match a.leader.as_str() {
+        "" => "Nobody leads: nothing new is agreed".to_string(),
+        name => format!("{name} leads"),
+    };
+    let voters: Vec<String> = a.voters.iter().map(voter).collect();
+    format!("{leads}; {} decide. Term {}, entry {}.\n", voters.join(", "), a.term, a.index)
+}
+
+/// What is held.
+pub fn holds(a: &Agreed) -> Table {
+    let heads = vec!["HELD", "BY", "FOR", "NUMBER", "WHY"];
+    let row = |h: &Held| {
+        let long = match h.left_s {
+            Some(left) if h.stays => format!("{}, and until given back", span(left)),
+            Some(left) => span(left),
+            None => "until given back".into(),
+        };
+        vec![h.name.clone(), h.owner.clone(), long, h.fence.to_string(), h.note.clone()]
+    };
+    Table { heads, rows: a.holds.iter().map(row).collect() }
+}
+
+/// What is amiss with what is agreed.
+fn agreed_alarm(a: &Agreed) -> Option<String> {
+    if a.part == "unfit" {
+        return Some(
+            "This coordinator's log can't go on: it met what only a later build knows, or broke. The others decide."
+                .into(),
+        );
+    }
+    if !a.missing.is_empty() {
+        return Some(format!("Nothing is agreed yet: waiting for {}.", a.missing.join(", ")));
+    }
+    let gone: Vec<&str> = a.voters.iter().filter(|v| !v.there).map(|v| v.name.as_str()).collect();
+    (!a.voters.is_empty() && a.leader.is_empty()).then(|| {
+        let who = if gone.is_empty() { String::new() } else { format!(" ({} gone)", gone.join(", ")) };
+        format!("No majority of those who decide is heard{who}: nothing new is agreed; what is held ends by itself.")
+    })
+}
+
 /// What the fleet looks like from here, where something is amiss.
 fn fleet_alarms(s: &Snapshot) -> Vec<String> {
     let others: Vec<&Member> = s.members.iter().filter(|m| !m.me).collect();
--- a/crates/control/src/commands.rs
+++ b/crates/control/src/commands.rs
@@ -82,6 +82,31 @@
         options: &[JSON],
         remote: true,
     },
+    Command {
+        name: "holds",
+        arguments: "",
+        about: "lists what is held over the whole fleet, and who decides",
+        options: &[JSON],
+        remote: true,
+    },
+    Command {
+        name: "hold",
+        arguments: "NAME",
+        about: "takes a hold over the whole fleet: of one name only one is held",
+        options: &[
+            ("--for", "TIME", "for how long, as 30s, 10m or 2h; 10m where nothing is said"),
+            ("--stays", "", "beyond that, until it is given back"),
+            ("--note", "WORDS", "why, for the others"),
+        ],
+        remote: true,
+    },
+    Command {
+        name: "unhold",
+        arguments: "NAME",
+        about: "gives a hold back, whoever took it",
+        options: &[],
+        remote: true,
+    },
     Command {
         name: "classes",
         arguments: "",
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -68,6 +68,19 @@
     Roll(Vec<String>, bool),
     /// The engine that a roll has handed over is back.
     Back,
+    /// Takes a hold over the whole fleet.
+    Hold {
+        /// Its name: of one name only one is held.
+        name: String,
+        /// For how long, in seconds.
+        for_s: u64,
+        /// It is held beyond that, until it is given back.
+        stays: bool,
+        /// Why, in words.
+        note: String,
+    },
+    /// Gives a hold back, whoever took it.
+    Unhold(String),
     /// Stops the roll, or lets it go on.
     RollStop,
     /// See [`Request::RollStop`].
@@ -156,6 +169,16 @@
                 let list = engines.iter().map(|e| text(e)).collect::<Vec<_>>();
                 ("roll", vec![("engines", JsonValue::Array(list)), ("dry_run", (*dry).into())])
             }
+            Request::Hold { name, for_s, stays, note } => (
+                "hold",
+                vec![
+                    ("name", text(name)),
+                    ("for_s", (*for_s as f64).into()),
+                    ("stays", (*stays).into()),
+                    ("note", text(note)),
+                ],
+            ),
+            Request::Unhold(name) => ("unhold", vec![("name", text(name))]),
             Request::Back => ("back", vec![]),
             Request::RollStop => ("roll_stop", vec![]),
             Request::RollGoOn => ("roll_go_on", vec![]),
@@ -210,6 +233,13 @@
             let names = list.iter().filter_map(|v| v.get::<String>().cloned()).collect();
             Request::Roll(names, flag("dry_run"))
         }
+        "hold" => Request::Hold {
+            name: need("name")?,
+            for_s: number(fields, "for_s").ok_or(Bad::Missing("for_s"))? as u64,
+            stays: flag("stays"),
+            note: text("note").unwrap_or_default(),
+        },
+        "unhold" => Request::Unhold(need("name")?),
         "back" => Request::Back,
         "roll_stop" => Request::RollStop,
         "roll_go_on" => Request::RollGoOn,
@@ -318,6 +348,8 @@
             },
             Request::Remove { engine: engine(), force: false },
             Request::Roll(vec![engine(), "b\"\n".into()], true),
+            Request::Hold { name: "room-a".into(), for_s: 600, stays: true, note: "a fan".into() },
+            Request::Unhold("room-a".into()),
             Request::Back,
             Request::RollStop,
             Request::RollGoOn,
--- a/crates/control/src/snapshot.rs
+++ b/crates/control/src/snapshot.rs
@@ -45,6 +45,58 @@
         roll: Option<Roll>,
         /// The fleet's coordinators, by name, this one among them; empty where there is no fleet.
         members: Vec<Member>,
+        /// What the fleet has agreed on; nothing where there is no fleet, or it has not been opened yet.
+        agreed: Option<Agreed>,
+    }
+}
+
+object! {
+    /// What the fleet has agreed on, as this one knows it.
+    Agreed {
+        /// This one's part: `founds`, `votes`, `learns`, `reads` or `unfit`.
+        part: String,
+        /// Who leads; empty where nobody is heard to: then nothing new is agreed.
+        leader: String,
+        /// The term and the last entry known.
+        term: u64,
+        /// See `term`.
+        index: u64,
+        /// Who decides.
+        voters: Vec<Voter>,
+        /// The first voters that lack, where nothing is founded yet.
+        missing: Vec<String>,
+        /// All that is held.
+        holds: Vec<Held>,
+    }
+}
+
+object! {
+    /// One who decides.
+    Voter {
+        /// Its name.
+        name: String,
+        /// It is there.
+        there: bool,
+    }
+}
+
+object! {
+    /// A right that is lent.
+    Held {
+        /// What is held.
+        name: String,
+        /// Its number: later ones are higher.
+        fence: u64,
+        /// Through which coordinator it was taken.
+        owner: String,
+        /// How much of it.
+        amount: u64,
+        /// Seconds until it ends, as of the last entry; nothing where it stays until it is given back.
+        left_s: Option<u64>,
+        /// It counts beyond its end.
+        stays: bool,
+        /// Why, in words.
+        note: String,
     }
 }
 
--- a/crates/fleet/src/agreed/founding.rs
+++ b/crates/fleet/src/agreed/founding.rs
@@ -20,7 +20,7 @@
 
 /// Nothing is lent for this long after a founding, by the log's time: what a fleet without a state folder had lent, all of whose
 /// voters were lost at once, must have ended by then. No right is lent for longer at once where logs are not kept.
-pub const QUIET: Micros = 30_000_000;
+pub const QUIET: Micros = 10_000_000;
 /// Sets to which we once promised ourselves and that may still be founded.
 const PROMISES: usize = 8;
 
--- a/crates/fleet/src/agreed/mod.rs
+++ b/crates/fleet/src/agreed/mod.rs
@@ -764,8 +764,7 @@
             if let Some(replica) = &mut self.replica {
                 replica.tick();
                 if replica.broken {
-                    // It stays, to be seen; a restart opens it again with what was kept.
-                    self.pending.clear();
+                    self.retire(store::HEADER.to_vec());
                 }
             }
             self.found();
@@ -868,7 +867,12 @@
         };
         let zones: Vec<String> = there.filter_map(zone_of).collect();
         let (after, all_keep) = (self.options.replace_after, self.all_keep());
-        let next = voters::next(&seats, replica.learner(), &candidates, &zones, after, all_keep);
+        let learner = replica.learner().map(|(id, near)| {
+            let name = replica.state().voters.get(&id);
+            let shown = name.and_then(|n| self.shown(n)).is_some_and(|s| s.id == id);
+            (id, near, shown)
+        });
+        let next = voters::next(&seats, learner, &candidates, &zones, after, all_keep);
         if let (Some(change), Some(replica)) = (next, &mut self.replica) {
             self.counters.changes += u64::from(replica.change(&change));
         }
--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -2,8 +2,8 @@
 //!
 //! `raft` (the engine of TiKV) decides who leads and what is agreed; it does no I/O, so that this does none either: what
 //! is to be sent and kept is handed out, and what was kept is told back. It ends the process by a panic where its
-//! invariants are broken, which a peer with the key that lies can bring about. Such a panic ends this replica alone: it
-//! takes part in nothing any more until the process is started again.
+//! invariants are broken: by a disk that lost what it said it kept, or a peer with the key that lies. Such a panic ends this
+//! replica alone; its process asks to be let in again under another id, as one that lost its log.
 
 use crate::agreed::founding::{Founded, Voter};
 use crate::agreed::rights::{Entry as Asked, Outcome, Rights};
@@ -238,14 +238,14 @@
         self.raw.raft.prs().conf().voters().ids().iter().collect()
     }
 
-    /// Who learns, whether it has come up with the rest, and whether it was heard lately.
-    pub fn learner(&self) -> Option<(u64, bool, bool)> {
+    /// Who learns, and whether it has come up with the rest.
+    pub fn learner(&self) -> Option<(u64, bool)> {
         let raft = &self.raw.raft;
         let id = *raft.prs().conf().learners().iter().min()?;
         let progress = raft.prs().get(id)?;
-        let near =
-            progress.matched + 8 >= raft.raft_log.committed && progress.state == ProgressState::Replicate;
-        Some((id, near, progress.recent_active))
+        // Behind a snapshot it is probed until the next entry comes, which may be long: what it has is what counts.
+        let has_some = progress.matched > 0 && progress.state != ProgressState::Snapshot;
+        Some((id, has_some && progress.matched + 8 >= raft.raft_log.committed))
     }
 
     /// Runs something of `raft`'s; a panic ends this replica and nothing else.
--- a/crates/fleet/src/agreed/rights.rs
+++ b/crates/fleet/src/agreed/rights.rs
@@ -166,8 +166,8 @@
     /// Of a log that begins at this time of its founder's clock, in milliseconds since 1970. What an earlier log may have
     /// lent, for `quiet` at most, must have ended before anything is lent here.
     pub fn begun(clock_ms: u64, quiet: Micros) -> Rights {
-        // 2^20 entries a millisecond would have to pass for a number to come twice.
-        Rights { base: clock_ms << 20, quiet_until: quiet, ..Rights::default() }
+        // A million entries a second would have to pass for a number to come twice; and readers in JSON have 53 bits.
+        Rights { base: (clock_ms / 1000) << 20, quiet_until: quiet, ..Rights::default() }
     }
 
     /// The log's time.
@@ -302,7 +302,7 @@
 
     #[test]
     fn one_pot_is_lent_once_until_its_end_and_then_under_a_higher_number() {
-        let mut rights = Rights::begun(7, 0);
+        let mut rights = Rights::begun(7_999, 0);
         let first = rights.apply(1, entry(S, "a", 1, take("out", 10 * S, false)));
         assert_eq!(first, Outcome::Lent { fence: (7 << 20) + 1 });
         let full = Outcome::Full { lent: 1, wait: Some(9 * S) };
--- a/crates/fleet/src/unit.rs
+++ b/crates/fleet/src/unit.rs
@@ -223,6 +223,14 @@
         wrong
     }
 
+    /// Takes part no more: another process of our name may. What is still to be kept is taken first, by [`Fleet::to_keep`].
+    pub fn close_agreed(&mut self) {
+        self.agreed = None;
+        // Others must not see the replica of this process where there is another's.
+        let bytes = Notice::default().write();
+        self.tell(AGREED, &bytes);
+    }
+
     /// What was wrong with what was kept, at the start.
     pub fn wrong(&self) -> Option<&agreed::store::Unusable> {
         self.wrong.as_ref()
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -2,7 +2,7 @@
 //!
 //! ```kdl
 //! members 8 zones=2            // m0 .. m7, zone z0, z1 in turn
-//! voters 3 keeps=#true         // m0 .. m2 keep a log of what is agreed, on disk where they keep it
+//! voters 3 keeps=#true replace-after="10 s"   // m0 .. m2 keep a log of what is agreed, on disk where they keep it
 //! seed 7
 //! until "40 s"
 //! link "all" "all" delay="2 ms" jitter="1 ms"
@@ -171,6 +171,8 @@
     pub voters: u32,
     /// What they agree on is kept on disk.
     pub keeps: bool,
+    /// A voter that is gone for so long is replaced.
+    pub replace_after: Micros,
     /// For all that is drawn at random.
     pub seed: u64,
     /// When it ends.
@@ -293,6 +295,7 @@
             zones: 1,
             voters: 0,
             keeps: false,
+            replace_after: 300_000_000,
             seed: 1,
             until: 30_000_000,
             deeds: Vec::new(),
@@ -317,6 +320,7 @@
                 "voters" => {
                     script.voters = number()?.min(5) as u32;
                     script.keeps = node.get("keeps").and_then(|k| k.as_bool()).unwrap_or(false);
+                    script.replace_after = reader.time_of(node, "replace-after", script.replace_after)?;
                 }
                 "seed" => script.seed = number()?,
                 "until" => script.until = span()?,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -48,6 +48,10 @@
     pub zone: String,
     /// See `zone`.
     pub region: String,
+    /// The first voters of what is agreed, by name; none where nothing is.
+    pub voters: Vec<String>,
+    /// A voter that is gone for so long is replaced, in microseconds.
+    pub replace_after: u64,
 }
 
 /// All that a coordinator is told at its start.
@@ -281,6 +285,9 @@
     }
 }
 
+/// A voter that is gone for so long is replaced, in seconds, where the operator's file says nothing.
+const REPLACE_AFTER_S: u64 = 300;
+
 fn fleet(json: Json) -> Result<Option<FleetConfig>, String> {
     if json.is_null() {
         return Ok(None);
@@ -297,5 +304,7 @@
         seeds: seeds.collect::<Result<_, _>>()?,
         zone: told("zone"),
         region: told("region"),
+        voters: json.get("voters").each().filter_map(|v| v.text()).map(String::from).collect(),
+        replace_after: json.get("replace_after_s").whole().unwrap_or(REPLACE_AFTER_S) * 1_000_000,
     }))
 }
--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -25,6 +25,11 @@
         let keys = crate::node::read_keys(&fleet.key_file);
         let keys = keys.map_or_else(|why| why, |keys| format!("{} keys", keys.ids().len()));
         let _ = writeln!(text, "fleet       {}, {} seeds, {keys}", fleet.listen, fleet.seeds.len());
+        if !fleet.voters.is_empty() {
+            let kept =
+                if config.state.is_some() { "kept in the state folder" } else { "not kept: no state folder" };
+            let _ = writeln!(text, "voters      {}; the log is {kept}", fleet.voters.join(", "));
+        }
     }
     text
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod console;
 pub mod demo;
+pub mod disk;
 pub mod fronts;
 pub mod handover;
 pub mod members;
--- a/crates/node/src/members/mod.rs
+++ b/crates/node/src/members/mod.rs
@@ -9,6 +9,7 @@
 use driftfront_core::{ListKind, Micros, Phase};
 use driftfront_roster::Fact;
 use driftfront_settings::json::Json;
+use std::net::SocketAddr;
 use tinyjson::JsonValue;
 
 /// A list that is watched over one connection, which may be opened again and again.
@@ -23,24 +24,39 @@
     fn moved(&mut self, host: String);
 }
 
-/// What an update of the platform's form says: whole list or changes, engines, and what of it can't be used.
-pub fn facts(
-    zones: &[String],
-    kinds: &[String],
-    update: Json,
-) -> Result<(ListKind, Vec<Fact>, Vec<String>), String> {
+/// What an update says.
+pub struct Update {
+    /// The whole list, or changes to it.
+    pub kind: ListKind,
+    /// Engines.
+    pub facts: Vec<Fact>,
+    /// Other coordinators, and where their datagrams go: lines with `coordinator` instead of `hostPort`.
+    pub coordinators: Vec<(String, SocketAddr)>,
+    /// What of it can't be used, in words.
+    pub odd: Vec<String>,
+}
+
+/// What an update of the platform's form says.
+pub fn read(zones: &[String], kinds: &[String], update: Json) -> Result<Update, String> {
     let body = update.get("endpoints");
     let listed = body.get("instances").list().ok_or("an update without instances")?;
     let kind = if body.get("reset").flag() { ListKind::Whole } else { ListKind::Changes };
-    let (mut facts, mut odd) = (Vec::new(), Vec::new());
+    let mut told = Update { kind, facts: Vec::new(), coordinators: Vec::new(), odd: Vec::new() };
     for entry in listed {
+        let entry = Json(Some(entry));
         // One bad line must not cost the others.
-        match fact(zones, kinds, Json(Some(entry))) {
-            Ok(fact) => facts.push(fact),
-            Err(why) => odd.push(why),
-        }
+        let done = match entry.get("coordinator").text() {
+            Some(addr) => coordinator(entry, addr).map(|c| told.coordinators.push(c)),
+            None => fact(zones, kinds, entry).map(|f| told.facts.push(f)),
+        };
+        told.odd.extend(done.err());
     }
-    Ok((kind, facts, odd))
+    Ok(told)
+}
+
+fn coordinator(e: Json, addr: &str) -> Result<(String, SocketAddr), String> {
+    let name = e.get("instanceId").text().ok_or("a coordinator without instanceId")?;
+    Ok((name.into(), addr.parse().map_err(|_| format!("{name}: coordinator {addr:?} is no address"))?))
 }
 
 fn fact(zones: &[String], kinds: &[String], e: Json) -> Result<Fact, String> {
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -281,7 +281,7 @@
         }
     }
 
-    fn tell_operator(&mut self, id: ConnId, line: &str) {
+    pub(super) fn tell_operator(&mut self, id: ConnId, line: &str) {
         let Some(control) = &mut self.control else { return };
         let Some(operator) = control.operators.get_mut(&id) else { return };
         operator.out.extend(line.bytes());
@@ -400,6 +400,8 @@
                 self.order(now, conn, id, Order::Remove { engine, force }, words);
             }
             Request::Add { engine, addr, zone, kind } => self.add(now, conn, id, engine, &addr, &zone, &kind),
+            Request::Hold { name, for_s, stays, note } => self.hold((conn, id), name, for_s, stays, note),
+            Request::Unhold(name) => self.unhold((conn, id), &name),
             Request::Roll(engines, dry) => self.begin_roll(now, conn, id, engines, dry),
             Request::Back => {
                 self.with_roll(now, conn, id, "no engine is handed over", |r, _| r.handed_back(now))
@@ -831,6 +833,7 @@
             sessions: self.front.sessions(),
             roll,
             members: self.fleet_members(),
+            agreed: self.fleet_agreed(),
         }
     }
 }
--- a/crates/node/src/node/feed.rs
+++ b/crates/node/src/node/feed.rs
@@ -3,7 +3,7 @@
 use super::{ConnId, Node, Source};
 use crate::config::{Config, Membership};
 use crate::members::backoff::{Backoff, Broken};
-use crate::members::{etcd::Etcd, facts, file::File, stream::Stream, Watch};
+use crate::members::{etcd::Etcd, file::File, read, stream::Stream, Watch};
 use crate::net::{connect, Link, ReadEnd};
 use calloop::RegistrationToken;
 use driftfront_core::Micros;
@@ -190,11 +190,12 @@
     }
 
     fn take_update(&mut self, now: Micros, update: &JsonValue) {
-        match facts(&self.config.zones, &self.config.kinds, Json(Some(update))) {
-            Ok((kind, facts, odd)) => {
-                odd.iter().for_each(|why| tracing::warn!("engine list: {why}"));
+        match read(&self.config.zones, &self.config.kinds, Json(Some(update))) {
+            Ok(told) => {
+                told.odd.iter().for_each(|why| tracing::warn!("engine list: {why}"));
                 self.feed.told = now;
-                let change = self.roster.source(kind, facts);
+                self.fleet_listed(&told);
+                let change = self.roster.source(told.kind, told.facts);
                 self.take_change(now, &change);
             }
             Err(e) => tracing::warn!("engine list: {e}"),
--- a/crates/node/src/node/fleet.rs
+++ b/crates/node/src/node/fleet.rs
@@ -1,14 +1,17 @@
 //! The fleet's hands: a UDP socket, read before any of the unit's timers runs, and never for long at once. All of it is
 //! there only where the operator's file has a `fleet`.
 
+mod agreed;
+
 use super::{Node, Source};
 use crate::config::FleetConfig;
+use crate::members::Update;
 use driftfront_control::snapshot::Member;
-use driftfront_core::lifecycle;
-use driftfront_core::Micros;
+use driftfront_core::{lifecycle, ListKind, Micros, Phase};
 use driftfront_fleet::{About, Fleet, Identity, Keyring, Options, Standing, State, DATAGRAM_MOST};
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::rc::Rc;
@@ -17,6 +20,8 @@
 /// Datagrams read before other sources have their turn, and the time that they may take: the loop serves clients first.
 const TURN: usize = 128;
 const TIME: Duration = Duration::from_millis(2);
+/// Coordinators of the engines' list that are kept as seeds.
+const LISTED_MOST: usize = 256;
 /// Bytes that the socket holds while the loop is elsewhere.
 const SOCKET_HOLDS: usize = 1024 * 1024;
 
@@ -27,6 +32,10 @@
     about: About,
     began: Instant,
     clock: Micros,
+    /// Coordinators that the engines' list names: seeds as those of the operator's file.
+    listed: BTreeMap<String, SocketAddr>,
+    /// What is agreed: its file, and operators that wait for it.
+    log: agreed::Log,
     /// Turns that ended with more to read.
     cut_short: u64,
     /// Datagrams that the system would not send.
@@ -66,11 +75,8 @@
 impl Node {
     /// Takes part in the fleet, where the operator's file says so.
     pub(super) fn open_fleet(&mut self) -> Result<(), String> {
-        let Some(FleetConfig { listen, advertise, key_file, seeds, zone, region }) =
-            self.config.fleet.clone()
-        else {
-            return Ok(());
-        };
+        let Some(config) = self.config.fleet.clone() else { return Ok(()) };
+        let FleetConfig { listen, advertise, key_file, seeds, zone, region, .. } = config;
         let keys = read_keys(&key_file).map_err(|e| format!("fleet: {e}"))?;
         let socket = UdpSocket::bind(listen).map_err(|e| format!("fleet: {listen}: {e}"))?;
         let shown = |e: std::io::Error| format!("fleet: {e}");
@@ -102,8 +108,19 @@
         let unit = Fleet::new(clock, options);
         self.watch(socket.clone(), Source::Fleet).map_err(|e| format!("fleet: {e}"))?;
         tracing::info!(%here, "fleet");
-        let (began, cut_short, unsent, longest) = (Instant::now(), 0, 0, 0);
-        self.fleet = Some(Box::new(Hands { socket, unit, about, began, clock, cut_short, unsent, longest }));
+        self.fleet = Some(Box::new(Hands {
+            socket,
+            unit,
+            about,
+            began: Instant::now(),
+            clock,
+            listed: BTreeMap::new(),
+            log: agreed::Log::default(),
+            cut_short: 0,
+            unsent: 0,
+            longest: 0,
+        }));
+        self.open_agreed();
         Ok(())
     }
 
@@ -156,10 +173,39 @@
         let clock = fleet.clock();
         // With each sweep: what is looked at seldom can't be told from what is held up.
         fleet.unit.tick(clock);
+        self.tend_agreed(state);
         self.fleet_sends();
     }
 
+    /// The engines' list has told of coordinators, or of some that are gone.
+    pub(super) fn fleet_listed(&mut self, told: &Update) {
+        let Some(fleet) = self.fleet.as_mut() else { return };
+        let before = fleet.listed.clone();
+        if told.kind == ListKind::Whole {
+            fleet.listed.clear();
+        }
+        // A line that takes a coordinator out looks as one that takes an engine out.
+        for gone in told.facts.iter().filter(|f| f.phase == Phase::Gone) {
+            fleet.listed.remove(&gone.name);
+        }
+        fleet.listed.extend(told.coordinators.iter().take(LISTED_MOST).cloned());
+        while fleet.listed.len() > LISTED_MOST {
+            fleet.listed.pop_last();
+        }
+        if fleet.listed != before {
+            self.change_seeds();
+        }
+    }
+
+    fn change_seeds(&mut self) {
+        let seeds = self.config.fleet.as_ref().map_or(Vec::new(), |f| f.seeds.clone());
+        let Some(fleet) = self.fleet.as_mut() else { return };
+        let listed = fleet.listed.values().copied();
+        fleet.unit.change_seeds(seeds.into_iter().chain(listed).collect());
+    }
+
     fn fleet_sends(&mut self) {
+        self.keep_agreed();
         let Some(fleet) = self.fleet.as_mut() else { return };
         while let Some((to, bytes)) = fleet.unit.to_send() {
             fleet.unsent += u64::from(fleet.socket.send_to(&bytes, to).is_err());
@@ -182,7 +228,10 @@
             Ok(keys) => {
                 tracing::info!(keys = ?keys.ids(), "fleet: keys read again");
                 fleet.unit.change_keys(keys);
-                fleet.unit.change_seeds(new.seeds.clone());
+                if let Some(config) = &mut self.config.fleet {
+                    config.seeds = new.seeds.clone();
+                }
+                self.change_seeds();
             }
             Err(e) => tracing::error!("fleet: the old keys stay: {e}"),
         }
@@ -250,7 +299,8 @@
             ("turns_cut_short", fleet.cut_short),
             ("turn_longest_us", fleet.longest),
         ];
-        lines.iter().map(|(name, n)| format!("fleet_{name} {n}\n")).collect()
+        let agreed = agreed::counters(fleet);
+        lines.into_iter().chain(agreed).map(|(name, n)| format!("fleet_{name} {n}\n")).collect()
     }
 }
 
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -15,7 +15,7 @@
 use crate::fronts::{platform::Platform, After, Front};
 use crate::handover::Post;
 use crate::members::backoff::{Backoff, Broken};
-use crate::members::facts;
+use crate::members::read;
 use crate::net::unix_now;
 use crate::service::End;
 
@@ -414,10 +414,10 @@
     /// Takes over what the configuration lists.
     fn take_known(&mut self) {
         for update in std::mem::take(&mut self.config.known) {
-            match facts(&self.config.zones, &self.config.kinds, Json(Some(&update))) {
-                Ok((kind, facts, odd)) => {
-                    odd.iter().for_each(|why| tracing::warn!("known engines: {why}"));
-                    self.roster.source(kind, facts);
+            match read(&self.config.zones, &self.config.kinds, Json(Some(&update))) {
+                Ok(told) => {
+                    told.odd.iter().for_each(|why| tracing::warn!("known engines: {why}"));
+                    self.roster.source(told.kind, told.facts);
                 }
                 Err(e) => tracing::warn!("known engines: {e}"),
             }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -364,7 +364,8 @@
 
 /// Other coordinators.
 fn fleet(reader: &Reader, node: &KdlNode) -> Told<JsonValue> {
-    let told = reader.properties(node, &["listen", "advertise", "key-file", "zone", "region"])?;
+    let told =
+        reader.properties(node, &["listen", "advertise", "key-file", "zone", "region", "replace-after"])?;
     let value = |key: &str| told.get(key).and_then(|e| e.value().as_string());
     let address = |key: &str, text: &str, offset: usize| match text.parse::<std::net::SocketAddr>() {
         Ok(_) => Ok(self::text(text)),
@@ -394,16 +395,35 @@
     for key in ["zone", "region"] {
         fields.extend(value(key).map(|v| (key, text(v))));
     }
-    let mut seeds = Vec::new();
-    for seed in node.children().map(|c| c.nodes()).unwrap_or(&[]) {
-        if seed.name().value() != "seed" {
-            let what = format!("fleet holds no {}", seed.name().value());
-            return Err(reader.at(seed, what, "it holds seed \"127.0.0.1:7947\""));
+    if let Some(entry) = told.get("replace-after") {
+        let seconds = reader.time(entry, "replace-after")? / 1_000_000;
+        fields.push(("replace_after_s", (seconds as f64).into()));
+    }
+    let (mut seeds, mut voters) = (Vec::new(), Vec::new());
+    for child in node.children().map(|c| c.nodes()).unwrap_or(&[]) {
+        match child.name().value() {
+            "seed" => {
+                let at = reader.text_of(child)?;
+                seeds.push(address("seed", &at, child.span().offset())?);
+            }
+            "voter" => voters.push(reader.text_of(child)?),
+            other => {
+                let what = format!("fleet holds no {other}");
+                return Err(reader.at(
+                    child,
+                    what,
+                    "it holds seed \"127.0.0.1:7947\" and voter \"coordinator-a\"",
+                ));
+            }
         }
-        let at = reader.text_of(seed)?;
-        seeds.push(address("seed", &at, seed.span().offset())?);
+    }
+    let different: std::collections::BTreeSet<&String> = voters.iter().collect();
+    if different.len() != voters.len() || ![0, 3, 5].contains(&voters.len()) {
+        let what = format!("fleet names {} voters, {} of them different", voters.len(), different.len());
+        return Err(reader.at(node, what, "name 3 or 5 coordinators, the same in all files, or none"));
     }
     fields.push(("seeds", list(seeds)));
+    fields.push(("voters", list(voters.iter().map(|v| text(v)).collect::<Vec<_>>())));
     Ok(object(fields))
 }
 
--- a/crates/node/src/remote.rs
+++ b/crates/node/src/remote.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// A time as `30s`, `10m`, `2h`, in seconds.
+fn seconds(text: &str) -> Option<u64> {
+    let (number, unit) = text.split_at(text.find(|c: char| !c.is_ascii_digit())?);
+    let factor = match unit {
+        "s" => 1,
+        "m" => 60,
+        "h" => 3600,
+        _ => return None,
+    };
+    number.parse::<u64>().ok()?.checked_mul(factor).filter(|&s| s > 0)
+}
+
 fn width() -> usize {
     let told = std::env::var("COLUMNS").ok().and_then(|c| c.parse().ok());
     told.or_else(driftfront_console::run::terminal_width).unwrap_or(80)
@@ -106,7 +118,23 @@
             }
             console::run(at, !no_color).map_err(io)
         }
-        "status" | "engines" | "classes" | "queries" | "members" => {
+        "hold" => {
+            let stays = args.contains("--stays");
+            let span: Option<String> = args.opt_value_from_str("--for")?;
+            let note: String = args.opt_value_from_str("--note")?.unwrap_or_default();
+            let hold: String = args.free_from_str()?;
+            no_more(args)?;
+            let span = span.as_deref().unwrap_or("10m");
+            let for_s =
+                seconds(span).ok_or_else(|| Failure::Usage(format!("--for {span}: write 30s, 10m or 2h")))?;
+            say(&(ask(&mut connect(&at)?, &Request::Hold { name: hold, for_s, stays, note })? + "\n"))
+        }
+        "unhold" => {
+            let hold: String = args.free_from_str()?;
+            no_more(args)?;
+            say(&(ask(&mut connect(&at)?, &Request::Unhold(hold))? + "\n"))
+        }
+        "status" | "engines" | "classes" | "queries" | "members" | "holds" => {
             no_more(args)?;
             let s = snapshot(&mut connect(&at)?)?;
             if json {
@@ -115,6 +143,7 @@
                     "engines" => s.engines.to_json(),
                     "classes" => s.classes.to_json(),
                     "members" => s.members.to_json(),
+                    "holds" => s.agreed.to_json(),
                     _ => s.queries.to_json(),
                 };
                 return say(&(value.stringify().unwrap_or_default() + "\n"));
@@ -127,6 +156,10 @@
                     "There is no fleet: the operator's file has none.\n".into()
                 }
                 "members" => table(&words::members(&s)),
+                "holds" => match &s.agreed {
+                    Some(agreed) => words::agreed(agreed) + &table(&words::holds(agreed)),
+                    None => "There is no fleet: nothing is agreed.\n".into(),
+                },
                 _ => table(&words::queries(&s)),
             })
         }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,31 +1,20 @@
-//! The state folder: operators' orders that outlive a restart. Files are written by a thread of their own, so that the
-//! event loop never waits for a disk; a command counts as done once its record is on the disk.
+//! The state folder: operators' orders that outlive a restart. A command counts as done once its record is on the disk.
 
+use crate::disk::{Disk, Job};
 use driftfront_roster::record::{self, Record, COMPACT_AT, HEADER};
-use std::fs::{File, OpenOptions};
+use std::fs::OpenOptions;
 use std::io::{Read, Seek, SeekFrom, Write};
-use std::path::{Path, PathBuf};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::path::Path;
+
+pub use crate::disk::Written;
 
 /// The file's name in the folder.
 const NAME: &str = "orders";
-/// Writes that wait for the disk; more are refused.
-const WAITING_MOST: usize = 64;
-
-/// What the writer is asked for.
-enum Job {
-    /// Records to be appended, and the number under which their end is told.
-    Append(u64, Vec<Record>),
-    /// The fewest records that say the same: the file is written anew.
-    Compact(Vec<Record>),
-}
-
-/// How a write ended: its number, and what went wrong.
-pub type Written = (u64, Result<(), String>);
-
+/// The number of a write that makes the file smaller.
+const ANEW: u64 = 0;
 /// The folder, open.
 pub struct State {
-    jobs: SyncSender<Job>,
+    disk: Disk,
     last: u64,
     size: usize,
 }
@@ -58,58 +47,27 @@
     if read.well == 0 {
         file.write_all(HEADER).and_then(|()| file.sync_all()).map_err(|e| say("can't be written", e))?;
     }
-    let (jobs, work) = sync_channel(WAITING_MOST);
-    std::thread::Builder::new()
-        .name("state".into())
-        .spawn(move || write(&path, file, &work, written))
-        .map_err(|e| say("no thread for it", e))?;
-    Ok((State { jobs, last: 0, size: read.well.max(HEADER.len()) }, read.records, told))
-}
-
-fn write(path: &Path, mut file: File, work: &Receiver<Job>, written: impl Fn(Written)) {
-    while let Ok(job) = work.recv() {
-        match job {
-            Job::Append(number, records) => {
-                let bytes: Vec<u8> = records.iter().flat_map(record::encode).collect();
-                let end = file.write_all(&bytes).and_then(|()| file.sync_data());
-                written((number, end.map_err(|e| e.to_string())));
-            }
-            Job::Compact(records) => {
-                // Beside the old one, and put in its place only when it is whole.
-                match anew(path, &record::file(&records)) {
-                    Ok(new) => file = new,
-                    Err(e) => tracing::warn!("{}: not written anew: {e}", path.display()),
-                }
-            }
-        }
-    }
-}
-
-fn anew(path: &Path, bytes: &[u8]) -> std::io::Result<File> {
-    let beside: PathBuf = path.with_extension("new");
-    let _ = std::fs::remove_file(&beside);
-    let mut file = OpenOptions::new().append(true).create(true).open(&beside)?;
-    file.write_all(bytes)?;
-    file.sync_all()?;
-    std::fs::rename(&beside, path)?;
-    if let Some(folder) = path.parent() {
-        File::open(folder)?.sync_all()?;
-    }
-    Ok(file)
+    let told_of = path.clone();
+    let ends = move |(number, end): Written| match (number, &end) {
+        // Nobody waits for the file to be smaller.
+        (ANEW, Ok(())) => {}
+        (ANEW, Err(e)) => tracing::warn!("{}: not written anew: {e}", told_of.display()),
+        _ => written((number, end)),
+    };
+    let disk = Disk::open(path, file, None, ends).map_err(|e| say("no thread for it", e))?;
+    Ok((State { disk, last: ANEW, size: read.well.max(HEADER.len()) }, read.records, told))
 }
 
 impl State {
     /// Writes records down; their end is told under the number. `None`: too many wait for the disk.
     pub fn append(&mut self, records: Vec<Record>) -> Option<u64> {
-        let size: usize = records.iter().map(|r| record::encode(r).len()).sum();
+        let bytes: Vec<u8> = records.iter().flat_map(record::encode).collect();
+        let size = bytes.len();
         self.last += 1;
-        match self.jobs.try_send(Job::Append(self.last, records)) {
-            Ok(()) => {
-                self.size += size;
-                Some(self.last)
-            }
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => None,
-        }
+        let number = self.last;
+        self.disk.ask(Job { number, anew: false, bytes }).ok()?;
+        self.size += size;
+        Some(number)
     }
 
     /// Whether the file has grown so that it should be written anew.
@@ -119,8 +77,9 @@
 
     /// Writes the file anew.
     pub fn compact(&mut self, records: Vec<Record>) {
-        let size = record::file(&records).len();
-        if self.jobs.try_send(Job::Compact(records)).is_ok() {
+        let bytes = record::file(&records);
+        let size = bytes.len();
+        if self.disk.ask(Job { number: ANEW, anew: true, bytes }).is_ok() {
             self.size = size;
         }
     }
--- /dev/null
+++ b/crates/node/tests/agreed.rs
@@ -0,0 +1,198 @@
+//! What several processes of the program agree on, with faults between them. Waits are for what they say.
+
+use driftfront_rig::{Agreed, Request, Rig};
+use standins::engine::{Engine, Options};
+use standins::ledger::Ledger;
+use std::sync::Arc;
+
+fn rig(script: &str) -> (Rig, Engine) {
+    let engine =
+        Engine::start(Options { name: "engine-1".into(), ..Options::default() }, Arc::new(Ledger::default()));
+    let rig = Rig::start(env!("CARGO_BIN_EXE_driftfront"), &engine.addr().to_string(), script);
+    (rig, engine)
+}
+
+/// Asks until it is held: nothing is lent for ten seconds after a founding, and a leader may be new.
+fn held(rig: &Rig, by: u32, name: &str, for_s: u64) -> u64 {
+    let since = std::time::Instant::now();
+    loop {
+        let said = rig.hold(by, name, for_s);
+        if let Some(fence) = said.as_ref().ok().and_then(|w| w.rsplit(' ').next()?.parse().ok()) {
+            return fence;
+        }
+        let words = said.unwrap_err();
+        let later = words.contains("yet") || words.contains("in time");
+        assert!(later && since.elapsed() < driftfront_rig::FOR_EVER * 2, "{words}\n{}", rig.log().text());
+        std::thread::sleep(std::time::Duration::from_millis(300));
+    }
+}
+
+/// Waits until this one knows that these are held, and nothing else.
+fn wait_until_held(rig: &Rig, by: u32, names: &[&str]) {
+    wait_until(rig, by, &format!("{names:?}"), |a| {
+        let mut holds: Vec<&str> = a.holds.iter().map(|h| h.name.as_str()).collect();
+        holds.sort();
+        holds == names
+    });
+}
+
+fn wait_until(rig: &Rig, of: u32, what: &str, holds: impl Fn(&Agreed) -> bool) {
+    let since = std::time::Instant::now();
+    while !rig.agreed(of).is_some_and(|a| holds(&a)) {
+        let late = || format!("m{of}: {:?}, not {what}\n{}", rig.agreed(of), rig.log().text());
+        assert!(since.elapsed() < driftfront_rig::FOR_EVER, "{}", late());
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+}
+
+fn wait_until_part(rig: &Rig, of: u32, part: &str) {
+    wait_until(rig, of, part, |a| a.part == part);
+}
+
+#[test]
+fn what_is_held_is_held_once_and_outlives_its_leader_a_sleeper_a_cut_and_the_end_of_all() {
+    let (mut rig, _engine) = rig("members 5\nvoters 3 keeps=#true");
+    let voters = [0, 1, 2];
+    let leader = rig.wait_for_leader(&voters, None);
+    // At a reader; seen by all, and nobody else's until it is given back, by whomever.
+    let first = held(&rig, 4, "room-a", 600);
+    (0..5).for_each(|m| wait_until_held(&rig, m, &["room-a"]));
+    let taken = rig.hold(leader, "room-a", 5).unwrap_err();
+    assert!(taken.contains("held already"), "{taken}");
+    rig.ask(3, &Request::Unhold("room-a".into())).expect("anybody may");
+    let second = held(&rig, leader, "room-a", 600);
+    assert!(second > first, "numbers grow: {first}, {second}");
+
+    // The leader dies: what is held stands, and another lends.
+    rig.now(&format!("kill \"m{leader}\""));
+    let rest: Vec<u32> = voters.into_iter().filter(|&m| m != leader).collect();
+    let next = rig.wait_for_leader(&rest, Some(leader));
+    assert!(rig.hold(3, "room-a", 5).unwrap_err().contains("held already"));
+    held(&rig, 3, "room-b", 600);
+    rig.now(&format!("start \"m{leader}\""));
+    wait_until_part(&rig, leader, "votes");
+    wait_until_held(&rig, leader, &["room-a", "room-b"]);
+
+    // It is stopped, others go on, and it wakes as a leader that knows of none of it.
+    rig.wait_for_leader(&voters, None);
+    rig.now(&format!("stop \"m{next}\""));
+    let rest: Vec<u32> = voters.into_iter().filter(|&m| m != next).collect();
+    let third = rig.wait_for_leader(&rest, Some(next));
+    rig.ask(third, &Request::Unhold("room-a".into())).expect("given back");
+    let lent = held(&rig, 4, "room-a", 600);
+    rig.now(&format!("wake \"m{next}\""));
+    // It is asked at once, while it may still believe that it leads.
+    let said = rig.hold(next, "room-a", 600).unwrap_err();
+    assert!(said.contains("held already"), "{said}");
+    // What it knew was the first of that name; it hears of the second.
+    wait_until(&rig, next, "the later number", |a| a.holds.iter().any(|h| h.fence == lent));
+
+    // A leader with a reader, cut off: a minority lends nothing, and says why.
+    let leader = rig.wait_for_leader(&voters, None);
+    rig.now(&format!("cut \"m{leader}\" \"m3\""));
+    let rest: Vec<u32> = voters.into_iter().filter(|&m| m != leader).collect();
+    rig.wait_for_leader(&rest, Some(leader));
+    assert!(rig.hold(3, "room-c", 5).unwrap_err().contains("no majority"));
+    assert!(rig.hold(leader, "room-c", 5).unwrap_err().contains("no majority"));
+    held(&rig, 4, "room-c", 600);
+    rig.now("heal");
+    wait_until_held(&rig, 3, &["room-a", "room-b", "room-c"]);
+
+    // All at once, with no word: what was agreed stands when they are back.
+    rig.now("kill \"all\"");
+    rig.now("start \"all\"");
+    rig.wait_for_leader(&voters, None);
+    assert!(rig.hold(4, "room-a", 5).unwrap_err().contains("held already"));
+    (0..5).for_each(|m| wait_until_held(&rig, m, &["room-a", "room-b", "room-c"]));
+}
+
+#[test]
+fn voters_that_keep_no_log_get_their_seats_again_and_lend_for_a_short_time_only() {
+    let (mut rig, _engine) = rig("members 4\nvoters 3");
+    let voters = [0, 1, 2];
+    rig.wait_for_leader(&voters, None);
+    held(&rig, 3, "room-a", 10);
+    assert!(rig.hold(3, "room-b", 11).unwrap_err().contains("10 s"));
+    for m in voters {
+        rig.now(&format!("kill \"m{m}\""));
+        rig.now(&format!("start \"m{m}\""));
+        wait_until_part(&rig, m, "votes");
+        rig.wait_for_leader(&voters, None);
+    }
+    wait_until(&rig, 3, "three that decide", |a| a.voters.len() == 3 && a.voters.iter().all(|v| v.there));
+}
+
+#[test]
+fn a_voter_that_is_gone_for_good_is_replaced_and_reads_when_it_comes_back() {
+    let (mut rig, _engine) = rig("members 4\nvoters 3 keeps=#true replace-after=\"3 s\"");
+    let leader = rig.wait_for_leader(&[0, 1, 2], None);
+    let gone = (leader + 1) % 3;
+    rig.now(&format!("kill \"m{gone}\""));
+    wait_until_part(&rig, 3, "votes");
+    rig.now(&format!("start \"m{gone}\""));
+    wait_until_part(&rig, gone, "reads");
+    // What its file says now outlives another start, and it founds nothing.
+    rig.now(&format!("kill \"m{gone}\""));
+    rig.now(&format!("start \"m{gone}\""));
+    wait_until_part(&rig, gone, "reads");
+    rig.wait_for_leader(&[leader, 3], None);
+}
+
+#[test]
+fn a_log_whose_end_is_torn_or_lost_is_cut_and_catches_up_and_one_that_is_not_ours_is_left_alone() {
+    let (mut rig, _engine) = rig("members 3\nvoters 3 keeps=#true");
+    rig.wait_for_leader(&[0, 1, 2], None);
+    let file = rig.state(2).join("agreed");
+    let length = std::fs::metadata(&file).unwrap().len();
+    // Within the last record, within an earlier one.
+    // The last is no power cut: the disk lost what it had said it kept, and the engine of the log finds that out.
+    for cut in [3, 40, length / 2] {
+        rig.now("kill \"m2\"");
+        let bytes = std::fs::read(&file).unwrap();
+        std::fs::write(&file, &bytes[..bytes.len() - cut.min(bytes.len() as u64) as usize]).unwrap();
+        rig.now("start \"m2\"");
+        wait_until_part(&rig, 2, "votes");
+        let leader = rig.wait_for_leader(&[0, 1, 2], None);
+        let index = rig.agreed(leader).unwrap().index;
+        rig.wait_for(2, "fleet_agreed_index", index);
+    }
+    rig.now("kill \"m2\"");
+    std::fs::write(&file, b"driftfront agreed 9\n of a later build").unwrap();
+    rig.now("start \"m2\"");
+    rig.wait_for(2, "fleet_agreed_disk_failed", 1);
+    wait_until_part(&rig, 2, "reads");
+    assert_eq!(std::fs::read(&file).unwrap(), b"driftfront agreed 9\n of a later build");
+    rig.wait_for_leader(&[0, 1], None);
+}
+
+#[test]
+fn coordinators_find_each_other_by_the_engines_list_alone() {
+    let (mut rig, engine) = rig("members 3");
+    let list = rig.state(0).with_extension("list");
+    let public: Vec<_> = (0..3).map(|m| rig.net.public(m)).collect();
+    let write = |names: &[usize]| {
+        let engine = engine.addr();
+        let mut lines =
+            vec![format!(r#"{{"instanceId":"engine-1","hostPort":"{engine}","lifecycle":"ready"}}"#)];
+        let line = |&m: &usize| format!(r#"{{"instanceId":"m{m}","coordinator":"{}"}}"#, public[m]);
+        lines.extend(names.iter().map(line));
+        std::fs::write(&list, format!(r#"{{"instances":[{}]}}"#, lines.join(","))).unwrap();
+    };
+    write(&[]);
+    for m in 0..3 {
+        // No seeds, and the engines of the list.
+        rig.give_file(m, |text| {
+            let no_seeds = text.split("seed \"").next().unwrap_or_default().to_string() + "}\n";
+            let engines = no_seeds.find("engines {").unwrap();
+            let end = no_seeds[engines..].find('\n').unwrap() + engines;
+            let listed = format!("engines {{ file \"{}\" }}", list.display());
+            format!("{}{listed}{}", &no_seeds[..engines], &no_seeds[end..])
+        });
+    }
+    rig.now("kill \"all\"");
+    rig.now("start \"all\"");
+    rig.wait_until_seen(&[0], &[0]);
+    // Two of the three are listed: the third is found through them, as it asks them.
+    write(&[0, 1]);
+    rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -2,7 +2,7 @@
 
 use crate::{Log, FOR_EVER};
 use driftfront_console::remote::{At, Remote};
-use driftfront_control::snapshot::Member;
+use driftfront_control::snapshot::{Member, Snapshot};
 use driftfront_control::{Reply, Request};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -12,7 +12,8 @@
 
 /// A process, running or not.
 pub struct Process {
-    binary: PathBuf,
+    /// The build that its next start runs.
+    pub binary: PathBuf,
     config: PathBuf,
     socket: PathBuf,
     member: u32,
@@ -102,13 +103,33 @@
         (memory.unwrap_or(0), ticks(11) + ticks(12))
     }
 
+    /// Gives it another file, changed by this.
+    pub fn give_file(&self, change: impl FnOnce(String) -> String) {
+        let text = std::fs::read_to_string(&self.config).expect("its file");
+        std::fs::write(&self.config, change(text)).expect("a temporary file");
+    }
+
     /// Whom it sees, by name; none where it does not answer, as one that is stopped.
     pub fn members(&self) -> Vec<Member> {
-        let snapshot =
-            Remote::connect(&At::Socket(self.socket.clone())).and_then(|mut r| r.ask(&Request::Snapshot));
-        match snapshot {
-            Ok(Reply::Snapshot(s)) => s.members,
-            _ => Vec::new(),
+        self.snapshot().map_or(Vec::new(), |s| s.members)
+    }
+
+    /// All that it tells operators; nothing where it does not answer.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        let at = At::Socket(self.socket.clone());
+        match Remote::connect(&at).and_then(|mut r| r.ask(&Request::Snapshot)) {
+            Ok(Reply::Snapshot(s)) => Some(*s),
+            _ => None,
+        }
+    }
+
+    /// Has it do what operators may ask; what it says, as done or as refused.
+    pub fn ask(&self, request: &Request) -> Result<String, String> {
+        match Remote::connect(&At::Socket(self.socket.clone())).and_then(|mut r| r.ask(request)) {
+            Ok(Reply::Done(words)) => Ok(words),
+            Ok(Reply::Refused(why)) => Err(why),
+            Ok(other) => Err(format!("{other:?}")),
+            Err(e) => Err(e.to_string()),
         }
     }
 }
