A log whose voters all lost it is let go by who only learned of it; numbers stay above its own

`let_go_of_the_dead` looked at voters alone, and a learner never asks to lead, so that raft has it believe in its last leader for ever (`Replica::leader`). A learner that hears nothing for 3 s knows no leader now; one that was told nothing at all lets go, too.

An id drawn anew was its old one and a millisecond, so that the next log began in the same second. Ids are drawn by the clock of now, and above the numbers of a log that is still known.

`Replica::leads` asked for all that is committed to be applied, which a leader whose disk is slower than its followers' lacks for moments: requests then waited 300 ms. It asks for an entry of its own term now.

--- a/crates/fleet/src/agreed/mod.rs
+++ b/crates/fleet/src/agreed/mod.rs
@@ -268,6 +268,9 @@
     /// Requests of others that we had proposed: who asked, by owner.
     pending: BTreeMap<String, (u64, u64)>,
     next_tick: Micros,
+    /// When the last tick was, and when another replica was last heard.
+    ticked: Micros,
+    heard: Micros,
     next_copy: Micros,
     /// Since when no leader is known.
     leaderless: Option<Micros>,
@@ -323,6 +326,8 @@
             clock: 0,
             pending: BTreeMap::new(),
             next_tick: 0,
+            ticked: 0,
+            heard: 0,
             next_copy: 0,
             leaderless: None,
             last_leader: None,
@@ -362,9 +367,15 @@
         own.or_else(|| self.copy.state.voters.get(&id))
     }
 
+    /// Who leads by our own replica. One that only learns never asks to lead, and would believe in its last leader for ever.
+    fn own_leader(&self) -> Option<u64> {
+        let replica = self.replica.as_ref()?;
+        replica.leader().filter(|_| replica.votes() || self.ticked < self.heard + LEADERLESS)
+    }
+
     /// Who leads, as far as we know: by our own replica, else by the word of a voter that is there.
     pub fn leader(&self) -> Option<String> {
-        if let Some(id) = self.replica.as_ref().and_then(Replica::leader) {
+        if let Some(id) = self.own_leader() {
             return self.name_of(id).cloned();
         }
         let says = |p: &&Peer| {
@@ -390,7 +401,7 @@
                 _ => (self.copy.cluster, self.copy.index),
             },
             term: r.map_or(0, Replica::term),
-            leader: r.and_then(Replica::leader).and_then(|id| self.name_of(id)).cloned().unwrap_or_default(),
+            leader: self.own_leader().and_then(|id| self.name_of(id)).cloned().unwrap_or_default(),
             votes: r.is_some_and(|r| r.votes() && !r.broken),
             keeps: self.keeps,
             unfit: r.is_some_and(|r| r.broken || r.beyond),
@@ -530,6 +541,7 @@
             return;
         };
         replica.step(bytes);
+        self.heard = now;
     }
 
     /// A leader's message to the id that we drew: it let us in.
@@ -680,18 +692,21 @@
     }
 
     /// A log of which a majority is lost for ever agrees on nothing any more: nobody brings back an id that its process
-    /// does not show. Who has the rest of it lets go, so that the founders can found another.
+    /// does not show. Who has the rest of it lets go, so that the founders can found another; so does who was let in by a
+    /// leader that was not heard again before it told anything.
     fn let_go_of_the_dead(&mut self, now: Micros) {
         if self.leaderless.is_none_or(|since| now < since + LEADERLESS) {
             return;
         }
-        let Some(replica) = self.replica.as_ref().filter(|r| r.votes()) else { return };
+        let Some(replica) = self.replica.as_ref() else { return };
         let deciding = replica.deciding();
         let lost = |id: &&u64| {
             let shown = replica.state().voters.get(id).and_then(|name| self.shown(name));
             **id != self.id && shown.is_some_and(|s| s.id != **id)
         };
-        if deciding.iter().filter(lost).count() > (deciding.len() - 1) / 2 {
+        if replica.applied() == 0
+            || deciding.iter().filter(lost).count() > deciding.len().saturating_sub(1) / 2
+        {
             self.retire(store::HEADER.to_vec());
             self.founding = Founding::new(&self.me, self.id, &self.options.founders);
         }
@@ -701,7 +716,8 @@
         self.counters.replicas_lost += 1;
         self.replica = None;
         self.pending.clear();
-        self.id = fresh_id(self.id + (1 << 20), &mut self.rng);
+        let later = (self.clock / 1000).max((self.id >> 20) + 1);
+        self.id = fresh_id(later << 20, &mut self.rng);
         if self.keeps {
             // What the file says next is of another life.
             self.keep.clear();
@@ -760,6 +776,7 @@
         if now >= self.next_tick {
             // One that was held up ticks once, not many times at once.
             self.next_tick = (self.next_tick + TICK).max(now + TICK / 2);
+            self.ticked = now;
             self.peers = peers().into_iter().map(|p| (p.name.clone(), p)).collect();
             if let Some(replica) = &mut self.replica {
                 replica.tick();
@@ -815,6 +832,14 @@
             return;
         }
         let Some(mut founding) = self.founding.take() else { return };
+        // Numbers of the next log must be above those of one that we know of, whatever our clock shows.
+        let least = self.copy.state.rights.begins_above();
+        if self.copy.cluster != 0 && self.id >> 20 < least {
+            self.id = fresh_id(least << 20, &mut self.rng);
+            if let Some(anew) = Founding::new(&self.me, self.id, &self.options.founders) {
+                founding = anew;
+            }
+        }
         match founding.look(|name| self.shown(name)) {
             Some(founded) => self.replica = Replica::found(founded, self.rng.random()),
             None => self.founding = Some(founding),
@@ -822,7 +847,7 @@
     }
 
     fn look_at_leader(&mut self, now: Micros) {
-        let leader = self.replica.as_ref().and_then(Replica::leader);
+        let leader = self.own_leader();
         if leader.is_some() && leader != self.last_leader {
             self.counters.leaders += 1;
             self.last_leader = leader;
@@ -889,7 +914,10 @@
         let notices = || self.peers.values().filter(tells).filter_map(|p| Some((p, p.notice.as_ref()?)));
         // Which log: one that has a leader, the latest founded if there are several.
         let led = notices().filter(|(_, n)| n.votes && !n.leader.is_empty()).max_by_key(|(_, n)| n.term);
-        let cluster = led.map_or(known.0, |(_, n)| n.cluster);
+        // Without one, what others know of an earlier one.
+        let told = notices().map(|(_, n)| n.knows).filter(|k| k.0 != 0).max_by_key(|k| k.1);
+        let cluster =
+            led.map_or(if known.0 != 0 { known.0 } else { told.map_or(0, |k| k.0) }, |(_, n)| n.cluster);
         if cluster == 0 {
             return;
         }
--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -218,14 +218,11 @@
         Some(self.raw.raft.leader_id).filter(|&id| id != 0 && !self.broken)
     }
 
-    /// It leads, and has applied all that was agreed under earlier leaders.
+    /// It leads, and has applied all that was agreed under earlier leaders: an entry of its own term is the last it applied.
     pub fn leads(&self) -> bool {
         let raft = &self.raw.raft;
-        !self.broken
-            && !self.beyond
-            && raft.state == StateRole::Leader
-            && raft.commit_to_current_term()
-            && self.applied >= raft.raft_log.committed
+        let own_term = || self.log.0.borrow().term_at(self.applied).is_ok_and(|t| t == raft.term);
+        !self.broken && !self.beyond && raft.state == StateRole::Leader && own_term()
     }
 
     /// Whether it decides, rather than learns.
--- a/crates/fleet/src/agreed/rights.rs
+++ b/crates/fleet/src/agreed/rights.rs
@@ -170,6 +170,11 @@
         Rights { base: (clock_ms / 1000) << 20, quiet_until: quiet, ..Rights::default() }
     }
 
+    /// When a log must begin, in milliseconds since 1970, for its numbers to be above those of this one.
+    pub fn begins_above(&self) -> u64 {
+        ((self.base >> 20) + 1) * 1000
+    }
+
     /// The log's time.
     pub fn time(&self) -> Micros {
         self.time
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -276,7 +276,13 @@
         }
         match world.led() {
             Some(_) => took.push(world.time() - storm::QUIET),
-            None => never.push(seed),
+            None => {
+                never.push(seed);
+                for m in world.living() {
+                    let Some(a) = world.fleet(m).and_then(|f| f.agreed()) else { continue };
+                    println!("  seed {seed}: m{m} {:?} {:?}", a.view(), a.notice());
+                }
+            }
         }
         world.play(owed + 10 * S, |_| false);
         let rights = world.rights.as_ref().ok_or("no rights")?;
