A leader held up or with a jumped clock counts none of it; TCP links, load and model in the rig and lab

Such a look counts for nothing now: the log's time may stand still, never run ahead. The program's own clock here is a monotonic one; the margin was wrong all the same.

Rig: connections between members and engines by links (delay, throttle, cut one way, reset), clients whose answers are judged, rules counted at the engines over the whole fleet; another build or file for a member; holds asked for in storms; pauses. Lab: a model for stateright of a lent right (3 voters, one crash, one cut), which finds three mistaken builds' ways.

--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -36,7 +36,8 @@
 const WAITING_MOST: u64 = 64 * 1024;
 /// A snapshot that has not been taken in so many ticks is sent anew.
 const SNAPSHOT_TICKS: u64 = 30;
-/// A leader's time goes on by this much at most between two looks: one that was stopped, or whose clock jumped, is late.
+/// Where a leader's clock shows more than this between two looks it was held up, or the clock jumped: nobody can tell, so that
+/// none of it counts. Its time may stand still, but must never be ahead of a holder's.
 const STEP_MOST: Micros = 250_000;
 
 /// What all replicas hold once they applied the same entries.
@@ -282,7 +283,7 @@
             return;
         }
         let (last, time) = self.clock.unwrap_or((clock, self.state.rights.time()));
-        let passed = clock.saturating_sub(last).min(STEP_MOST);
+        let passed = Some(clock.saturating_sub(last)).filter(|&p| p <= STEP_MOST).unwrap_or(0);
         self.clock = Some((clock, time + passed));
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod model;
 pub mod rights;
 pub mod script;
 pub mod storm;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,8 +12,8 @@
 use std::process::ExitCode;
 use std::str::FromStr;
 
-const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N] [--late]
-    a member is killed after 20 s and the rest watched for 20 s more: how long until all know, who was called down
+const USAGE: &str = "driftfront-lab members [--members N] [--runs K] [--loss PART] [--seed N] [--settle S] [--late]
+    a member is killed 10 s after they settled and the rest watched for 20 s more: how long until all know, who was called down
     though it was there, and what each sends
 driftfront-lab storm [--members N] [--runs K] [--seed N]
     storms of faults drawn by their seeds, then quiet: how long until all have one view again; a seed that does not is named
@@ -21,6 +21,8 @@
     the same storms over members that ask for rights: whether any is ever held twice, and how long until one leads again
 driftfront-lab leader [--members N] [--voters N] [--runs K] [--seed N] [--loss PART]
     the leader is killed after 40 s: how long until another leads, and until the next request is answered
+driftfront-lab check [--time N] [--terms N] [--entries N] [--depth N]
+    the model of a right that is lent, in all states that can be reached within the bounds
 driftfront-lab fuzz [--runs N] [--seed N]
     spoilt datagrams, and well sealed ones with spoilt payloads, into one member that goes on talking to another
 driftfront-lab play SCRIPT
@@ -43,6 +45,9 @@
     let runs = number(&mut args, "--runs", 20u64)?;
     let loss = number(&mut args, "--loss", 0f64)?;
     let seed = number(&mut args, "--seed", 1u64)?;
+    // What they send is counted from here on for ten seconds; then the one is killed.
+    let settle = number(&mut args, "--settle", 10u64)? * S;
+    let killed = settle + 10 * S;
     let mut first: Vec<Micros> = Vec::new();
     let mut all: Vec<Micros> = Vec::new();
     let (mut false_deaths, mut unknowing, mut sent, mut bytes) = (0u64, 0u64, 0u64, 0u64);
@@ -50,30 +55,32 @@
         let victim = n - 1 - (run % u64::from(n.saturating_sub(3).max(1))) as u32;
         let text = format!(
             "members {n}\nseed {}\nlink \"all\" \"all\" loss={loss:.3} delay=\"1 ms\" jitter=\"1 ms\"\n\
-             at \"20 s\" {{ kill \"m{victim}\" }}",
-            seed + run
+             at \"{} s\" {{ kill \"m{victim}\" }}",
+            seed + run,
+            killed / S
         );
         let mut world = World::new(Script::read(&text)?);
-        world.play(10 * S, |_| false);
+        world.play(settle, |_| false);
         let before: (u64, u64) = sums(&world, n);
-        world.play(20 * S, |_| false);
+        world.play(killed, |_| false);
         let after = sums(&world, n);
         (sent, bytes) = (sent + after.0 - before.0, bytes + after.1 - before.1);
-        world.play(40 * S, |_| false);
+        world.play(killed + 20 * S, |_| false);
         let down = |s: &&Seen| s.standing == Some(Standing::Down);
         let mut knew: Vec<Micros> = world
             .seen
             .iter()
             .filter(down)
-            .filter(|s| s.of == victim && s.at >= 20 * S)
-            .map(|s| s.at - 20 * S)
+            .filter(|s| s.of == victim && s.at >= killed)
+            .map(|s| s.at - killed)
             .collect();
         knew.sort_unstable();
         // What became of a witness that came late: the next question is always how.
         for by in world.living().into_iter().filter(|_| verbose) {
             let of_it: Vec<_> =
-                world.seen.iter().filter(|s| s.by == by && s.of == victim && s.at > 18 * S).collect();
-            let late = of_it.last().is_none_or(|s| s.at > 26 * S || s.standing != Some(Standing::Down));
+                world.seen.iter().filter(|s| s.by == by && s.of == victim && s.at > killed - 2 * S).collect();
+            let late =
+                of_it.last().is_none_or(|s| s.at > killed + 6 * S || s.standing != Some(Standing::Down));
             for s in of_it.iter().filter(|_| late) {
                 println!(
                     "  seed {}: {:.2} s m{by} sees m{victim} {:?}",
@@ -88,7 +95,7 @@
         let gone = (0..n).filter(|&by| by != victim && world.standing(by, victim) != Some(Standing::Down));
         unknowing += gone.count() as u64;
         false_deaths +=
-            world.seen.iter().filter(down).filter(|s| s.of != victim && s.at > 5 * S).count() as u64;
+            world.seen.iter().filter(down).filter(|s| s.of != victim && s.at > settle / 2).count() as u64;
     }
     first.sort_unstable();
     all.sort_unstable();
@@ -314,6 +321,39 @@
     }
 }
 
+/// Looks at all states of the model, and whether it finds what mistaken builds would do.
+fn check(mut args: pico_args::Arguments) -> Result<(), String> {
+    use driftfront_lab::model::{Bounds, Wrong};
+    use stateright::{Checker, HasDiscoveries, Model};
+    let (time, terms) = (number(&mut args, "--time", 4u64)?, number(&mut args, "--terms", 2u8)?);
+    let (entries, depth) = (number(&mut args, "--entries", 4usize)?, number(&mut args, "--depth", 0usize)?);
+    let mut failed = false;
+    for wrong in [Wrong::FromTheAnswer, Wrong::OwnClock, Wrong::Hasty, Wrong::Nothing] {
+        let bounds = Bounds { time, terms, entries, wrong };
+        let checker =
+            bounds.checker().threads(std::thread::available_parallelism().map_or(2, |n| n.get().min(3)));
+        let checker = if depth > 0 { checker.target_max_depth(depth) } else { checker };
+        let done = checker.finish_when(HasDiscoveries::AnyFailures).spawn_bfs().join();
+        let found: Vec<String> = done.discoveries().into_keys().map(String::from).collect();
+        println!(
+            "{wrong:?}: {} states, {} of them different, depth {}; found: {found:?}",
+            done.state_count(),
+            done.unique_state_count(),
+            done.max_depth()
+        );
+        let twice = found.iter().any(|f| f == "never both" || f == "agreed once");
+        failed |= twice != (wrong != Wrong::Nothing);
+        if let Some(path) = done.discovery("never both").filter(|_| wrong == Wrong::Nothing) {
+            println!("{path:?}");
+        }
+    }
+    if failed {
+        Err("the model lends twice, or does not find what a mistaken build would do".into())
+    } else {
+        Ok(())
+    }
+}
+
 /// How long nothing is agreed once the leader is gone.
 fn leader(mut args: pico_args::Arguments) -> Result<(), String> {
     let members = number(&mut args, "--members", 5u32)?;
@@ -383,6 +423,7 @@
         Ok(Some(command)) if command == "fuzz" => fuzz(args),
         Ok(Some(command)) if command == "storm" => storms(args),
         Ok(Some(command)) if command == "agreed" => agreed(args),
+        Ok(Some(command)) if command == "check" => check(args),
         Ok(Some(command)) if command == "leader" => leader(args),
         Ok(Some(command)) if command == "play" => play(args),
         _ => {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -9,6 +9,9 @@
 //! at "5 s" { cut "m0" "m1" }                   // from those, to all others, both ways
 //! at "6 s" { cut "z1" ways="out" }              // what they send is lost, what they hear is not
 //! at "9 s" { link "m0" "all" loss=0.3 delay="50 ms" repeat=0.1 }
+//! at "10 s" { part "m0" "z1" from="e0" }        // nothing comes between those and that engine (or "engines", "m3")
+//! at "11 s" { reset "m0" from="engines" }       // their connections end
+//! at "12 s" { link "m1" "engines" delay="80 ms" throttle=20000 }   // bytes a second
 //! at "15 s" { heal }
 //! at "20 s" { kill "m2" }                      // with no word
 //! at "21 s" { stop "m3" }                      // stands still, and wakes as if nothing were
@@ -32,6 +35,10 @@
     Zone(u32),
     /// One, by number.
     Member(u32),
+    /// All engines, where a rig has some.
+    Engines,
+    /// One of them.
+    Engine(u32),
 }
 
 impl Group {
@@ -39,7 +46,11 @@
         let number = |with: &str| text.strip_prefix(with)?.parse().ok();
         match text {
             "all" => Some(Group::All),
-            _ => number("m").map(Group::Member).or_else(|| number("z").map(Group::Zone)),
+            "engines" => Some(Group::Engines),
+            _ => number("m")
+                .map(Group::Member)
+                .or_else(|| number("z").map(Group::Zone))
+                .or_else(|| number("e").map(Group::Engine)),
         }
     }
 
@@ -49,6 +60,16 @@
             Group::All => true,
             Group::Zone(zone) => member % zones.max(1) == *zone,
             Group::Member(one) => member == *one,
+            Group::Engines | Group::Engine(_) => false,
+        }
+    }
+
+    /// Whether an engine is one of them.
+    pub fn has_engine(&self, engine: u32) -> bool {
+        match self {
+            Group::Engines => true,
+            Group::Engine(one) => engine == *one,
+            _ => false,
         }
     }
 }
@@ -64,14 +85,16 @@
     pub delay: Micros,
     /// Further time, drawn anew for each up to this: what draws less overtakes.
     pub jitter: Micros,
-    /// All are lost.
+    /// All are lost; of a connection nothing comes on.
     pub cut: bool,
+    /// Bytes a second; 0 for as many as there are.
+    pub throttle: u64,
 }
 
 impl Default for Link {
     /// A quiet building: half a millisecond.
     fn default() -> Link {
-        Link { loss: 0.0, repeat: 0.0, delay: 500, jitter: 100, cut: false }
+        Link { loss: 0.0, repeat: 0.0, delay: 500, jitter: 100, cut: false, throttle: 0 }
     }
 }
 
@@ -91,9 +114,10 @@
     }
 }
 
-/// The links between all members, as deeds change them.
+/// The links between all members, and engines behind them by number, as deeds change them.
 pub struct Links {
     members: u32,
+    engines: u32,
     zones: u32,
     /// Where no deed says anything.
     otherwise: Link,
@@ -104,12 +128,29 @@
 impl Links {
     /// All are so.
     pub fn new(members: u32, zones: u32, otherwise: Link) -> Links {
-        Links { members, zones, otherwise, usual: Vec::new(), cuts: BTreeMap::new() }
+        Links { members, engines: 0, zones, otherwise, usual: Vec::new(), cuts: BTreeMap::new() }
+    }
+
+    /// With so many engines: the first has the number behind the last member's.
+    pub fn with_engines(self, engines: u32) -> Links {
+        Links { engines, ..self }
+    }
+
+    fn has(&self, group: &Group, one: u32) -> bool {
+        match one.checked_sub(self.members) {
+            Some(engine) => group.has_engine(engine),
+            None => group.has(one, self.zones),
+        }
+    }
+
+    /// All of these groups, by number.
+    pub fn all_of(&self, groups: &[Group]) -> Vec<u32> {
+        (0..self.members + self.engines).filter(|&one| groups.iter().any(|g| self.has(g, one))).collect()
     }
 
     /// The link from one member to another.
     pub fn between(&self, from: u32, to: u32) -> Link {
-        let usual = || self.usual.iter().rev().find(|u| u.0.has(from, self.zones) && u.1.has(to, self.zones));
+        let usual = || self.usual.iter().rev().find(|u| self.has(&u.0, from) && self.has(&u.1, to));
         let cut = self.cuts.get(&(from, to)).copied();
         cut.unwrap_or_else(|| usual().map_or(self.otherwise, |u| u.2))
     }
@@ -120,9 +161,15 @@
     }
 
     /// Nothing comes between these and all others: from them, to them.
-    pub fn cut(&mut self, some: &[u32], (out, into): (bool, bool)) {
+    pub fn cut(&mut self, some: &[u32], ways: (bool, bool)) {
+        let others: Vec<u32> = (0..self.members).filter(|m| !some.contains(m)).collect();
+        self.part(some, &others, ways);
+    }
+
+    /// Nothing comes between these and those: from these, to these.
+    pub fn part(&mut self, some: &[u32], others: &[u32], (out, into): (bool, bool)) {
         for &one in some {
-            for other in (0..self.members).filter(|m| !some.contains(m)) {
+            for &other in others {
                 for (way, _) in [((one, other), out), ((other, one), into)].into_iter().filter(|w| w.1) {
                     let link = Link { cut: true, ..self.between(way.0, way.1) };
                     self.cuts.insert(way, link);
@@ -144,7 +191,11 @@
     Link(Group, Group, Link),
     /// Nothing comes between these and all others: from them (`true`, _), to them (_, `true`).
     Cut(Vec<Group>, (bool, bool)),
-    /// All links are as at the start.
+    /// Nothing comes between the first and the second: from the first (`true`, _), to them (_, `true`).
+    Part(Vec<Group>, Group, (bool, bool)),
+    /// All connections between the first and the second end.
+    Reset(Vec<Group>, Group),
+    /// No cut is left.
     Heal,
     /// A process ends with no word.
     Kill(Vec<Group>),
@@ -231,6 +282,20 @@
         part.filter(|p| (0.0..=1.0).contains(p)).ok_or_else(|| self.wrong(node, "a part is 0 to 1"))
     }
 
+    fn ways(&self, node: &KdlNode) -> Result<(bool, bool), String> {
+        match node.get("ways").map(|w| w.as_string()) {
+            None | Some(Some("both")) => Ok((true, true)),
+            Some(Some("out")) => Ok((true, false)),
+            Some(Some("in")) => Ok((false, true)),
+            _ => Err(self.wrong(node, "ways is \"both\", \"out\" or \"in\"")),
+        }
+    }
+
+    fn from(&self, node: &KdlNode) -> Result<Group, String> {
+        let from = node.get("from").and_then(|f| f.as_string()).and_then(Group::read);
+        from.ok_or_else(|| self.wrong(node, "write from=\"engines\", \"e0\" or \"m3\""))
+    }
+
     fn deed(&self, node: &KdlNode) -> Result<Deed, String> {
         Ok(match node.name().value() {
             "link" => {
@@ -245,18 +310,16 @@
                     delay: self.time_of(node, "delay", usual.delay)?,
                     jitter: self.time_of(node, "jitter", usual.jitter)?,
                     cut: false,
+                    throttle: node
+                        .get("throttle")
+                        .and_then(|t| t.as_integer())
+                        .map_or(0, |t| t.max(0) as u64),
                 };
                 Deed::Link(from.clone(), to.clone(), link)
             }
-            "cut" => {
-                let ways = match node.get("ways").map(|w| w.as_string()) {
-                    None | Some(Some("both")) => (true, true),
-                    Some(Some("out")) => (true, false),
-                    Some(Some("in")) => (false, true),
-                    _ => return Err(self.wrong(node, "ways is \"both\", \"out\" or \"in\"")),
-                };
-                Deed::Cut(self.groups(node)?, ways)
-            }
+            "cut" => Deed::Cut(self.groups(node)?, self.ways(node)?),
+            "part" => Deed::Part(self.groups(node)?, self.from(node)?, self.ways(node)?),
+            "reset" => Deed::Reset(self.groups(node)?, self.from(node)?),
             "heal" => Deed::Heal,
             "kill" => Deed::Kill(self.groups(node)?),
             "stop" => Deed::Stop(self.groups(node)?),
--- a/crates/lab/src/storm.rs
+++ b/crates/lab/src/storm.rs
@@ -43,6 +43,7 @@
                     delay: rng.random_range(0..20_000),
                     jitter: rng.random_range(0..30_000),
                     cut: false,
+                    throttle: 0,
                 };
                 Deed::Link(Group::All, Group::Member(rng.random_range(0..members)), link)
             }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -383,6 +383,12 @@
             Deed::Link(from, to, link) => self.links.set(&from, &to, link),
             Deed::Heal => self.links.heal(),
             Deed::Cut(groups, ways) => self.links.cut(&self.script.members_of(&groups), ways),
+            Deed::Part(groups, from, ways) => {
+                let others = self.links.all_of(&[from]);
+                self.links.part(&self.script.members_of(&groups), &others, ways);
+            }
+            // There are no connections here.
+            Deed::Reset(..) => {}
             Deed::Kill(groups) => self.script.members_of(&groups).into_iter().for_each(|m| self.end(m)),
             Deed::Stop(groups) => {
                 for m in self.script.members_of(&groups) {
--- a/crates/lab/tests/agreed.rs
+++ b/crates/lab/tests/agreed.rs
@@ -210,6 +210,19 @@
     }
 }
 
+#[test]
+fn a_leader_whose_clock_jumps_ends_nobody_s_right_before_its_holder_does() {
+    // In these clocks are set ahead by 15 and by 51 minutes while something is lent for a second or two.
+    for seed in [143, 285] {
+        let mut script = driftfront_lab::storm::storm(6, seed, true);
+        (script.voters, script.keeps) = (3, true);
+        let mut w = World::new(script);
+        w.ask(Load { one_in: 10, ..Load::default() });
+        w.play(driftfront_lab::storm::QUIET, |_| false);
+        assert_right(&w);
+    }
+}
+
 #[test]
 fn what_is_agreed_is_the_same_to_the_byte_on_one_seed() {
     let run = || {
--- /dev/null
+++ b/crates/lab/tests/model.rs
@@ -0,0 +1,21 @@
+//! The model of a right that is lent, as deep as a test has time for; `driftfront-lab check` goes further.
+
+use driftfront_lab::model::{Bounds, Wrong};
+use stateright::{Checker, HasDiscoveries, Model};
+
+fn found(wrong: Wrong, depth: usize) -> Vec<&'static str> {
+    let bounds = Bounds { time: 2, terms: 2, entries: 3, wrong };
+    let checker = bounds.checker().threads(2).target_max_depth(depth);
+    let done = checker.finish_when(HasDiscoveries::AnyFailures).spawn_bfs().join();
+    done.discoveries().into_keys().collect()
+}
+
+#[test]
+fn one_right_is_never_acted_on_by_two_whatever_crashes_or_is_cut() {
+    assert!(!found(Wrong::Nothing, 10).contains(&"never both"));
+}
+
+#[test]
+fn a_holder_that_counts_from_the_answer_is_found_out() {
+    assert!(found(Wrong::FromTheAnswer, 12).contains(&"never both"));
+}
--- /dev/null
+++ b/crates/node/tests/faults.rs
@@ -0,0 +1,97 @@
+//! A fleet of processes before engines, with faults on all links at once, and the rules counted from outside: at the
+//! engines by their ledger, at the clients by what they got.
+
+use driftfront_rig::load::{counts, Got, Load, Plan};
+use driftfront_rig::Rig;
+use standins::engine::{Engine, Options};
+use standins::ledger::Ledger;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn engines(n: usize) -> (Vec<Engine>, Arc<Ledger>) {
+    let ledger = Arc::new(Ledger::default());
+    let engine = |n| Engine::start(Options { name: format!("e{n}"), ..Options::default() }, ledger.clone());
+    ((0..n).map(engine).collect(), ledger)
+}
+
+fn rig(script: &str, engines: &[Engine]) -> Rig {
+    let named = engines.iter().map(|e| (e.name().to_string(), e.addr())).collect();
+    Rig::with_engines(env!("CARGO_BIN_EXE_driftfront"), named, script)
+}
+
+fn clients(rig: &Rig, members: u32, plan: &Plan) -> Load {
+    let addrs: BTreeMap<_, _> = (0..members).map(|m| (m, rig.clients(m))).collect();
+    Load::start(addrs, plan)
+}
+
+fn wait_until_done(rig: &Rig, load: &Load, least: usize) {
+    let since = std::time::Instant::now();
+    while load.done() < least {
+        assert!(
+            since.elapsed() < driftfront_rig::FOR_EVER,
+            "{} of {least}\n{}",
+            load.done(),
+            rig.log().text()
+        );
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn rules_hold_over_a_fleet_whose_links_and_members_fail_while_clients_ask() {
+    let (engines, ledger) = engines(3);
+    let mut rig = rig("members 4 zones=2\nvoters 3\nseed 5", &engines);
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    let plan = Plan { clients: 3, most: 400, inserts: 5, pause: Duration::from_millis(5) };
+    let load = clients(&rig, 4, &plan);
+    wait_until_done(&rig, &load, 100);
+    rig.now(
+        "link \"all\" \"engines\" delay=\"3 ms\" jitter=\"4 ms\"; link \"engines\" \"all\" delay=\"3 ms\"",
+    );
+    rig.now("cut \"m0\" \"m1\"");
+    rig.now("part \"m1\" from=\"e0\" ways=\"in\"");
+    wait_until_done(&rig, &load, 300);
+    rig.now("reset \"all\" from=\"e1\"");
+    rig.now("link \"m2\" \"engines\" throttle=20000");
+    wait_until_done(&rig, &load, 500);
+    rig.now("heal");
+    // One is killed, and back where its clients find it; another stands still for a while.
+    rig.now("kill \"m3\"");
+    let killed = load.done();
+    rig.now("start \"m3\"");
+    load.moved(3, rig.clients(3));
+    rig.now("stop \"m2\"");
+    wait_until_done(&rig, &load, killed + 100);
+    rig.now("wake \"m2\"");
+    rig.now("reset \"all\" from=\"engines\"");
+    wait_until_done(&rig, &load, killed + 400);
+    rig.wait_until_seen(&[0, 1, 2, 3], &[0, 1, 2, 3]);
+    let all = load.end();
+    // A reset may cost a statement that must not run twice; nothing is answered twice, or never.
+    let odd = |a: &&driftfront_rig::load::Asked| {
+        a.got == Got::Wrong || a.member != 3 && matches!(a.got, Got::Nothing | Got::NotTaken)
+    };
+    let wrong: Vec<_> = all.iter().filter(odd).collect();
+    assert!(wrong.is_empty(), "{wrong:#?}\n{}", rig.log().text());
+    let counts = counts(&all);
+    assert!(counts[&Got::Served] > all.len() / 2, "{counts:?}");
+    // What a killed process had out its clients may ask again; here none does, so that the count is the fleet's.
+    ledger.assert_rules(all.len());
+}
+
+#[test]
+fn a_member_whose_way_to_an_engine_is_cut_one_way_serves_by_the_others() {
+    let (engines, ledger) = engines(2);
+    let mut rig = rig("members 2", &engines);
+    rig.wait_until_seen(&[0, 1], &[0, 1]);
+    // What the engine says is lost: it hears and runs, and nobody knows.
+    rig.now("part \"m0\" from=\"e0\" ways=\"in\"");
+    let load = clients(&rig, 2, &Plan { clients: 2, most: 60, inserts: 0, pause: Duration::from_millis(2) });
+    wait_until_done(&rig, &load, 240);
+    let all = load.end();
+    let counts = counts(&all);
+    assert!(counts.get(&Got::Served).copied().unwrap_or(0) >= 230, "{counts:?}\n{}", rig.log().text());
+    assert!(counts.keys().all(|g| matches!(g, Got::Served | Got::Refused | Got::Failed)), "{counts:?}");
+    ledger.assert_rules(all.len());
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,8 +6,10 @@
 #![warn(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod load;
 pub mod net;
 pub mod process;
+pub mod tcp;
 
 pub use driftfront_control::snapshot::{Agreed, Member};
 pub use driftfront_control::Request;
@@ -15,7 +17,9 @@
 pub use driftfront_lab::{Deed, Group, Link, Script};
 pub use net::Net;
 pub use process::Process;
+pub use tcp::Wires;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -48,7 +52,9 @@
     script: Script,
     binary: PathBuf,
     folder: PathBuf,
-    engine: String,
+    /// Engines as members' files name them; each member's own address for each where links stand between.
+    engines: Vec<(String, SocketAddr)>,
+    wires: Option<Wires>,
     processes: Vec<Process>,
     begun: Instant,
     log: Log,
@@ -64,16 +70,30 @@
 
     /// The same of a script that is read.
     pub fn of(binary: &str, engine: &str, script: Script) -> Rig {
+        let engines = vec![("engine-1".to_string(), engine.parse().expect("an address"))];
+        Rig::between(binary, engines, script, false)
+    }
+
+    /// With links between the members and these engines, too: `e0` is the first.
+    pub fn with_engines(binary: &str, engines: Vec<(String, SocketAddr)>, script: &str) -> Rig {
+        Rig::between(binary, engines, Script::read(script).expect("a script"), true)
+    }
+
+    fn between(binary: &str, engines: Vec<(String, SocketAddr)>, script: Script, wired: bool) -> Rig {
         let n = RIGS.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("driftfront-rig-{}-{n}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let net = Net::start(script.members, script.zones, script.seed);
+        let count = if wired { engines.len() as u32 } else { 0 };
+        let net = Net::start(script.members, count, script.zones, script.seed);
+        let addrs: Vec<SocketAddr> = engines.iter().map(|e| e.1).collect();
+        let wires = wired.then(|| Wires::start(script.members, &addrs, &net));
         let mut rig = Rig {
             net,
             processes: Vec::new(),
             script,
             binary: binary.into(),
-            engine: engine.into(),
+            engines,
+            wires,
             folder,
             begun: Instant::now(),
             log: Log::default(),
@@ -105,6 +125,12 @@
     fn config(&self, member: u32) -> String {
         let seeds: String =
             (0..self.script.members.min(3)).map(|m| format!("seed \"{}\"; ", self.net.public(m))).collect();
+        let engines: String = (0..self.engines.len())
+            .map(|n| {
+                let at = self.wires.as_ref().map_or(self.engines[n].1, |w| w.addr(member, n));
+                format!("engine \"{}\" at=\"{at}\"; ", self.engines[n].0)
+            })
+            .collect();
         let voters: String = (0..self.script.voters).map(|m| format!("voter \"m{m}\"; ")).collect();
         let state = match self.script.keeps {
             true => format!("state \"{}\"\n", self.state(member).display()),
@@ -112,11 +138,10 @@
         };
         format!(
             "name \"m{member}\"\nlisten \"127.0.0.1:0\"\ncontrol \"{}\"\n\
-             engines {{ engine \"engine-1\" at=\"{}\" }}\n\
+             engines {{ {engines}}}\n\
              fleet listen=\"127.0.0.1:0\" advertise=\"{}\" key-file=\"{}\" zone=\"z{}\" \
              replace-after=\"{} s\" {{ {seeds}{voters}}}\n{state}",
             self.folder.join(format!("m{member}.sock")).display(),
-            self.engine,
             self.net.public(member),
             self.key_file().display(),
             member % self.script.zones,
@@ -184,7 +209,17 @@
             return;
         }
         let inner = self.processes[member as usize].start(&self.log, self.begun);
-        self.net.place(member, inner);
+        self.net.place(member, inner.expect("it says where its datagrams come in"));
+    }
+
+    /// Starts a member whose file has no fleet any more.
+    pub fn start_alone(&mut self, member: u32) {
+        self.processes[member as usize].start(&self.log, self.begun);
+    }
+
+    /// Where operators of a member connect.
+    pub fn control(&self, member: u32) -> PathBuf {
+        self.processes[member as usize].control().into()
     }
 
     /// A member's process.
@@ -207,6 +242,13 @@
         self.log.note(self.begun, format!("{deed:?}"));
         match deed {
             Deed::Link(from, to, link) => self.net.link(from, to, *link),
+            Deed::Part(groups, from, ways) => self.net.part(groups, from, *ways),
+            Deed::Reset(groups, from) => {
+                let (some, others) = (self.net.all_of(groups), self.net.all_of(std::slice::from_ref(from)));
+                if let Some(wires) = &self.wires {
+                    wires.reset(&some, &others);
+                }
+            }
             Deed::Heal => self.net.heal(),
             Deed::Cut(groups, ways) => self.net.cut(&self.script.members_of(groups), *ways),
             Deed::Kill(groups) => {
@@ -308,6 +350,7 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         self.processes.clear();
+        self.net.end();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -2,9 +2,9 @@
 
 use driftfront_lab::{Group, Link, Links};
 use rand::rngs::SmallRng;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -24,6 +24,27 @@
     links: Links,
     rng: SmallRng,
     order: u64,
+    /// When a throttled link is free again.
+    free: BTreeMap<(u32, u32), Instant>,
+}
+
+/// A throttled link holds this much; more is lost.
+const THROTTLED_MOST: Duration = Duration::from_millis(200);
+
+impl Shared {
+    /// How long a throttled link takes for so many bytes behind all that it holds; nothing where they don't fit.
+    fn throttle(&mut self, from: u32, to: u32, rate: u64, bytes: usize) -> Option<Duration> {
+        if rate == 0 {
+            return Some(Duration::ZERO);
+        }
+        let now = Instant::now();
+        let begins = self.free.get(&(from, to)).copied().unwrap_or(now).max(now);
+        let takes = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        (begins - now < THROTTLED_MOST).then(|| {
+            self.free.insert((from, to), begins + takes);
+            begins + takes - now
+        })
+    }
 }
 
 /// Loopback by itself: the rig adds nothing where no script says so.
@@ -32,6 +53,7 @@
 }
 
 /// The network between the members of a rig.
+#[derive(Clone)]
 pub struct Net {
     public: Vec<SocketAddr>,
     shared: Arc<Mutex<Shared>>,
@@ -40,12 +62,13 @@
 
 impl Net {
     /// For so many members; all that is drawn comes from this seed.
-    pub fn start(members: u32, zones: u32, seed: u64) -> Net {
+    pub fn start(members: u32, engines: u32, zones: u32, seed: u64) -> Net {
         let shared = Shared {
             inner: vec![None; members as usize],
-            links: Links::new(members, zones, bare()),
+            links: Links::new(members, zones, bare()).with_engines(engines),
             rng: SmallRng::seed_from_u64(seed),
             order: 0,
+            free: BTreeMap::new(),
         };
         let shared = Arc::new(Mutex::new(shared));
         let over = Arc::new(AtomicBool::new(false));
@@ -87,16 +110,53 @@
         self.with(|s| s.links.cut(some, ways));
     }
 
+    /// Nothing comes between the first and the second: from the first, to them.
+    pub fn part(&self, some: &[Group], from: &Group, ways: (bool, bool)) {
+        self.with(|s| {
+            let (some, others) = (s.links.all_of(some), s.links.all_of(std::slice::from_ref(from)));
+            s.links.part(&some, &others, ways);
+        });
+    }
+
+    /// All of these groups, by number; engines behind the members.
+    pub fn all_of(&self, groups: &[Group]) -> Vec<u32> {
+        self.with(|s| s.links.all_of(groups))
+    }
+
+    /// The link from one to another, by number.
+    pub fn between(&self, from: u32, to: u32) -> Link {
+        self.with(|s| s.links.between(from, to))
+    }
+
+    /// How long a piece of a connection takes by this link, drawn anew; nothing while nothing comes through.
+    pub fn carries(&self, from: u32, to: u32, bytes: usize) -> Option<Duration> {
+        self.with(|s| {
+            let link = s.links.between(from, to);
+            if link.cut {
+                return None;
+            }
+            let jitter = if link.jitter > 0 { s.rng.random_range(0..link.jitter) } else { 0 };
+            let throttle = if link.throttle > 0 { bytes as f64 / link.throttle as f64 } else { 0.0 };
+            Some(Duration::from_micros(link.delay + jitter) + Duration::from_secs_f64(throttle))
+        })
+    }
+
     /// No cut is left.
     pub fn heal(&self) {
         self.with(|s| s.links.heal());
     }
 }
 
-impl Drop for Net {
-    fn drop(&mut self) {
+impl Net {
+    /// Its threads end.
+    pub fn end(&self) {
         self.over.store(true, Ordering::Relaxed);
     }
+
+    /// Whether it has ended.
+    pub fn is_over(&self) -> bool {
+        self.over.load(Ordering::Relaxed)
+    }
 }
 
 fn receive(socket: &UdpSocket, to: u32, shared: &Mutex<Shared>, over: &AtomicBool, send: &Sender<Due>) {
@@ -107,9 +167,11 @@
         // Who is no member, as a flood from elsewhere, comes through as it is.
         let sender = s.inner.iter().position(|i| *i == Some(from)).map(|m| m as u32);
         let link = sender.map_or(bare(), |m| s.links.between(m, to));
+        let held = sender.map_or(Some(Duration::ZERO), |m| s.throttle(m, to, link.throttle, n));
         for after in link.carry(&mut s.rng) {
+            let Some(held) = held else { continue };
             s.order += 1;
-            let at = Instant::now() + Duration::from_micros(after);
+            let at = Instant::now() + Duration::from_micros(after) + held;
             let _ = send.send((at, s.order, to, bytes[..n].to_vec()));
         }
     }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -31,8 +31,8 @@
         Process { binary: binary.into(), config: path, socket, member, child: None, clients: None }
     }
 
-    /// Starts it; where its datagrams come in.
-    pub fn start(&mut self, log: &Log, begun: Instant) -> SocketAddr {
+    /// Starts it; where its datagrams come in, if it takes part in a fleet.
+    pub fn start(&mut self, log: &Log, begun: Instant) -> Option<SocketAddr> {
         let mut command = Command::new(&self.binary);
         command.args(["serve", "--config"]).arg(&self.config).stderr(Stdio::piped()).stdin(Stdio::null());
         let mut child = command.spawn().expect("the program starts");
@@ -58,7 +58,7 @@
                 line.clear();
             }
         });
-        fleet.expect("it says where its datagrams come in")
+        fleet
     }
 
     /// Whether it runs, or stands still.
@@ -125,12 +125,12 @@
 
     /// Has it do what operators may ask; what it says, as done or as refused.
     pub fn ask(&self, request: &Request) -> Result<String, String> {
-        match Remote::connect(&At::Socket(self.socket.clone())).and_then(|mut r| r.ask(request)) {
-            Ok(Reply::Done(words)) => Ok(words),
-            Ok(Reply::Refused(why)) => Err(why),
-            Ok(other) => Err(format!("{other:?}")),
-            Err(e) => Err(e.to_string()),
-        }
+        ask(&self.socket, request)
+    }
+
+    /// Where operators connect.
+    pub fn control(&self) -> &Path {
+        &self.socket
     }
 }
 
@@ -140,6 +140,16 @@
     }
 }
 
+/// Has the program that listens here for operators do something; what it says, as done or as refused.
+pub fn ask(socket: &Path, request: &Request) -> Result<String, String> {
+    match Remote::connect(&At::Socket(socket.into())).and_then(|mut r| r.ask(request)) {
+        Ok(Reply::Done(words)) => Ok(words),
+        Ok(Reply::Refused(why)) => Err(why),
+        Ok(other) => Err(format!("{other:?}")),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
 /// Sends these bytes on a new connection and reads all that comes until its end.
 pub fn call(addr: SocketAddr, bytes: &str) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(addr)?;
