--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -152,16 +152,7 @@
             dropped: 0,
             config,
         };
-        // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
-        node.tend_post(now);
-        let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
-        node.life = Lifecycle::new(succeeds, passed, longest);
-        node.open_control()?;
-        node.take_known();
-        node.open_management();
-        node.open_fleet()?;
-        let socket = node.listener.clone();
-        node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
+        // Before any thread is started: a signal goes to whichever thread does not block it, and would end the program there.
         let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
             .map_err(|e| format!("signals: {e}"))?;
         let on_signal = |event: calloop::signals::Event, _: &mut (), node: &mut Node| {
@@ -174,6 +165,16 @@
             node.life.end(now);
         };
         events.handle().insert_source(signals, on_signal).map_err(|e| format!("signals: {e}"))?;
+        // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
+        node.tend_post(now);
+        let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
+        node.life = Lifecycle::new(succeeds, passed, longest);
+        node.open_control()?;
+        node.take_known();
+        node.open_management();
+        node.open_fleet()?;
+        let socket = node.listener.clone();
+        node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
         Ok(node)
     }
 
--- a/crates/node/tests/agreed.rs
+++ b/crates/node/tests/agreed.rs
@@ -196,3 +196,28 @@
     write(&[0, 1]);
     rig.wait_until_seen(&[0, 1, 2], &[0, 1, 2]);
 }
+
+#[test]
+fn in_an_upgrade_the_log_is_one_process_s_and_the_next_takes_it_over_with_its_seat() {
+    let (mut rig, _engine) = rig("members 3\nvoters 3 keeps=#true");
+    let leader = rig.wait_for_leader(&[0, 1, 2], None);
+    let upgraded = (leader + 1) % 3;
+    held(&rig, leader, "room-a", 600);
+    wait_until_held(&rig, upgraded, &["room-a"]);
+    let mut old = rig.succeed(upgraded);
+    // Both run; the new one is known by its name, and keeps its hands off the log.
+    rig.wait_until_seen(&[leader], &[0, 1, 2]);
+    assert!(rig.agreed(upgraded).is_none() && old.snapshot().is_some_and(|s| s.agreed.is_some()));
+    // Signals come to the loop, whatever threads write to the disk: either would have ended it with no word.
+    old.signal("-HUP");
+    assert!(old.snapshot().is_some_and(|s| s.agreed.is_some()));
+    old.signal("-TERM");
+    assert!(old.wait(), "the old one ends well:\n{}", rig.log().text());
+    wait_until_part(&rig, upgraded, "votes");
+    wait_until_held(&rig, upgraded, &["room-a"]);
+    let others: Vec<u32> = (0..3).filter(|&m| m != upgraded).collect();
+    assert!(
+        others.iter().all(|&m| rig.counter(m, "fleet_agreed_voters_changed") == 0),
+        "its seat is its own"
+    );
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -212,6 +212,20 @@
         self.net.place(member, inner.expect("it says where its datagrams come in"));
     }
 
+    /// Starts another process under a member's name and file, as an upgrade does, before the one that runs has ended: that
+    /// one is given back, and the member is the new one from now on.
+    pub fn succeed(&mut self, member: u32) -> Process {
+        let folder = self.folder.join("next");
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        let old = &self.processes[member as usize];
+        let next = folder.join(format!("m{member}.sock"));
+        let file = old.file().replace(&old.control().display().to_string(), &next.display().to_string());
+        let mut process = Process::new(&old.binary, &folder, member, &file);
+        let inner = process.start(&self.log, self.begun);
+        self.net.place(member, inner.expect("it says where its datagrams come in"));
+        std::mem::replace(&mut self.processes[member as usize], process)
+    }
+
     /// Starts a member whose file has no fleet any more.
     pub fn start_alone(&mut self, member: u32) {
         self.processes[member as usize].start(&self.log, self.begun);
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -105,8 +105,12 @@
 
     /// Gives it another file, changed by this.
     pub fn give_file(&self, change: impl FnOnce(String) -> String) {
-        let text = std::fs::read_to_string(&self.config).expect("its file");
-        std::fs::write(&self.config, change(text)).expect("a temporary file");
+        std::fs::write(&self.config, change(self.file())).expect("a temporary file");
+    }
+
+    /// Its file's text.
+    pub fn file(&self) -> String {
+        std::fs::read_to_string(&self.config).expect("its file")
     }
 
     /// Whom it sees, by name; none where it does not answer, as one that is stopped.
