--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -23,6 +23,8 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
+/// No honest log comes to such terms and places; one that was led there could not count on.
+const NUMBER_MOST: u64 = 1 << 40;
 /// `raft`'s tick.
 pub const TICK: Micros = 100_000;
 /// A leader is heard of each 200 ms; who hears of none for one to two seconds asks to become one.
@@ -303,6 +305,10 @@
 
     /// What `raft` would take from anybody though only a member of the log may say it, or a later build's snapshot.
     fn not_for_us(&self, message: &Message) -> bool {
+        let numbers = [message.term, message.log_term, message.index, message.commit, message.commit_term];
+        if numbers.iter().any(|&n| n > NUMBER_MOST) {
+            return true;
+        }
         match message.get_msg_type() {
             MessageType::MsgSnapshot => State::read(message.get_snapshot().get_data()).is_none(),
             MessageType::MsgPropose | MessageType::MsgReadIndex | MessageType::MsgTransferLeader => true,
--- a/crates/node/tests/wires.rs
+++ b/crates/node/tests/wires.rs
@@ -9,7 +9,7 @@
 use driftfront_core::{Ask, AttemptKey, Cause, ListKind, Phase, RequestId, Told};
 use driftfront_http::{chunk, Fault, Request, RequestReader, ResponsePart, ResponseReader, LAST_CHUNK};
 use driftfront_roster::{Change, Roster};
-use driftfront_settings::json::Json;
+use driftfront_settings::json::{parse, Json};
 use quickcheck::{Arbitrary, Gen, QuickCheck, Testable};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -379,3 +379,20 @@
     }
     assert!(!parts.contains(&ResponsePart::End) && !reader.ends_well());
 }
+
+#[test]
+fn coordinators_of_the_list_are_no_engines_and_one_without_an_address_is_told() {
+    let update = parse(
+        br#"{"endpoints":{"reset":true,"instances":[
+            {"instanceId":"c-1","coordinator":"127.0.0.1:7946"},
+            {"instanceId":"c-2","coordinator":"nowhere"},
+            {"coordinator":"127.0.0.1:7947"},
+            {"instanceId":"e-1","hostPort":"127.0.0.1:1","lifecycle":"ready"}]}}"#,
+    )
+    .unwrap();
+    let told = read(&[], &[], Json(Some(&update))).unwrap();
+    assert_eq!(told.coordinators, [("c-1".to_string(), "127.0.0.1:7946".parse().unwrap())]);
+    assert_eq!(told.facts.iter().map(|f| f.name.as_str()).collect::<Vec<_>>(), ["e-1"]);
+    assert_eq!(told.odd.len(), 2);
+    assert!(told.odd[0].contains("c-2") && told.odd[0].contains("nowhere"));
+}
