--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -32,6 +32,8 @@
 const ELECTION: usize = 10;
 /// Entries of one message, in bytes: it must fit one datagram with its head.
 const ENTRIES_MOST: u64 = 600;
+/// How often a vote, or what asks for one, is sent.
+const VOTES: usize = 3;
 /// Entries on their way to one replica at once.
 const IN_FLIGHT: usize = 32;
 /// Entries that are not agreed yet, in bytes: beyond, what is asked is not taken.
@@ -384,9 +386,26 @@
         });
     }
 
+    /// Votes are asked for once in an election, and a lost one costs a second or two: they go thrice.
+    fn queue(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let vote = matches!(
+                message.get_msg_type(),
+                MessageType::MsgRequestVote
+                    | MessageType::MsgRequestVoteResponse
+                    | MessageType::MsgRequestPreVote
+                    | MessageType::MsgRequestPreVoteResponse
+            );
+            for _ in 1..if vote { VOTES } else { 1 } {
+                self.out.push_back(message.clone());
+            }
+            self.out.push_back(message);
+        }
+    }
+
     fn persisted(&mut self, ready: u64, messages: Vec<Message>) {
         self.raw.on_persist_ready(ready);
-        self.out.extend(messages);
+        self.queue(messages);
         // A snapshot counts as applied only once it is kept.
         if self.raw.raft.raft_log.applied() < self.applied
             && self.applied <= self.raw.raft.raft_log.committed.min(self.raw.raft.raft_log.persisted)
@@ -427,7 +446,7 @@
         self.draw_time();
         while self.raw.has_ready() {
             let mut ready = self.raw.ready();
-            self.out.extend(ready.take_messages());
+            self.queue(ready.take_messages());
             let mut bytes = Vec::new();
             let snapshot = ready.snapshot().clone();
             let has_snapshot = snapshot.get_metadata().index > 0;
