--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -227,7 +227,7 @@
     while spoilt < runs {
         now += 25_000;
         let notices: Vec<Notice> = all.iter().map(Agreed::notice).collect();
-        for n in 0..3 {
+        for (n, one) in all.iter_mut().enumerate() {
             let peers = || {
                 let peer = |m: usize| Peer {
                     name: names[m].clone(),
@@ -238,7 +238,6 @@
                 (0..3).filter(|&m| m != n).map(peer).collect()
             };
             let stood = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
-                let one = &mut all[n];
                 one.tick(now, now, peers);
                 while let Some((_, outcome)) = one.outcome() {
                     if let Ok(Outcome::Lent { fence }) = outcome {
