Agreed part: one look-up of who is there and what it shows; nothing copied to learn a log's number

Read over once more; nothing behaves otherwise. `Replica::founded` copied all founders, by name, up to ten times a tick for one number: `cluster` and `id` in its place. `look_at_voters` had its own copy of `shown`; who is there was asked in six places by hand (`Peer::is_there`). Never used: `Rights::pass`, `Held::span`, the model's `Wrong::Hasty`.

--- a/crates/fleet/src/agreed/mod.rs
+++ b/crates/fleet/src/agreed/mod.rs
@@ -116,6 +116,13 @@
     pub notice: Option<Notice>,
 }
 
+impl Peer {
+    /// Nobody has called it down.
+    fn is_there(&self) -> bool {
+        self.stands.0 != Standing::Down
+    }
+}
+
 /// What members say to each other here. Later builds add words behind; an unknown one is counted and let go.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Word {
@@ -168,7 +175,6 @@
     pub amount: u32,
     /// Until when, by our own clock.
     pub until: Micros,
-    span: Micros,
 }
 
 /// What readers know: a state, and how far it goes.
@@ -301,7 +307,7 @@
             }
             replica
         });
-        let id = replica.as_ref().map_or_else(|| fresh_id(session, &mut rng), |r| r.founded().id);
+        let id = replica.as_ref().map_or_else(|| fresh_id(session, &mut rng), |r| r.id());
         let founding = match (&replica, &wrong) {
             (None, None) if !replaced => Founding::new(me, id, &options.founders),
             _ => None,
@@ -345,19 +351,18 @@
 
     /// Which log: of our replica, else of what we have read.
     fn cluster(&self) -> u64 {
-        self.replica.as_ref().map_or(self.copy.cluster, |r| r.founded().cluster)
+        self.replica.as_ref().map_or(self.copy.cluster, |r| r.cluster())
     }
 
     /// What we know is agreed.
     fn state(&self) -> &State {
         match &self.replica {
             Some(r)
-                if r.applied() > 0
-                    && (r.founded().cluster, r.applied()) >= (self.copy.cluster, self.copy.index) =>
+                if r.applied() > 0 && (r.cluster(), r.applied()) >= (self.copy.cluster, self.copy.index) =>
             {
                 r.state()
             }
-            Some(r) if self.copy.cluster != r.founded().cluster => r.state(),
+            Some(r) if self.copy.cluster != r.cluster() => r.state(),
             _ => &self.copy.state,
         }
     }
@@ -379,7 +384,7 @@
             return self.name_of(id).cloned();
         }
         let says = |p: &&Peer| {
-            p.stands.0 != Standing::Down
+            p.is_there()
                 && p.notice
                     .as_ref()
                     .is_some_and(|n| n.votes && n.cluster == self.cluster() && !n.leader.is_empty())
@@ -394,10 +399,10 @@
         let r = self.replica.as_ref();
         Notice {
             id: self.id,
-            cluster: r.map_or(0, |r| r.founded().cluster),
+            cluster: r.map_or(0, |r| r.cluster()),
             promised: self.founding.as_ref().map_or(0, Founding::promised),
             knows: match r {
-                Some(r) if r.applied() > 0 => (r.founded().cluster, r.applied()),
+                Some(r) if r.applied() > 0 => (r.cluster(), r.applied()),
                 _ => (self.copy.cluster, self.copy.index),
             },
             term: r.map_or(0, Replica::term),
@@ -536,7 +541,7 @@
             self.founding = None;
             self.leaderless = Some(now);
         }
-        let Some(replica) = self.replica.as_mut().filter(|r| r.founded().cluster == cluster) else {
+        let Some(replica) = self.replica.as_mut().filter(|r| r.cluster() == cluster) else {
             self.counters.foreign += 1;
             return;
         };
@@ -630,13 +635,13 @@
                     self.counters.given_back += 1;
                     self.ask_for(clock, Command::Give { fence: *fence }, Micros::MAX, true);
                 } else {
-                    let held = Held { pot: pot.clone(), amount: *amount, until: until(*span), span: *span };
+                    let held = Held { pot: pot.clone(), amount: *amount, until: until(*span) };
                     self.held.insert(*fence, held);
                 }
             }
             (Outcome::Renewed, Command::Renew { fence, span }) => {
                 if let Some(held) = self.held.get_mut(fence) {
-                    (held.until, held.span) = (held.until.max(until(*span)), *span);
+                    held.until = held.until.max(until(*span));
                 }
             }
             (Outcome::NotYours, Command::Renew { fence, .. }) => drop(self.held.remove(fence)),
@@ -681,7 +686,7 @@
         // other life, so that nothing is lost but its part.
         let decides = self.copy.state.voters.values().any(|v| v == from);
         let replaced = self.replica.as_ref().is_some_and(|r| {
-            let same = r.founded().cluster == self.copy.cluster && self.copy.index > r.applied();
+            let same = r.cluster() == self.copy.cluster && self.copy.index > r.applied();
             same && decides && !self.copy.state.voters.contains_key(&self.id)
         });
         if replaced {
@@ -742,7 +747,7 @@
                 sends.push(message);
             }
             let done: Vec<replica::Applied> = replica.done.drain(..).collect();
-            let cluster = replica.founded().cluster;
+            let cluster = replica.cluster();
             any |= !sends.is_empty() || !done.is_empty();
             for (to, bytes) in sends {
                 let Some(name) = self.name_of(to).cloned() else { continue };
@@ -817,16 +822,14 @@
     }
 
     fn shown(&self, name: &str) -> Option<Shown> {
-        let peer = self.peers.get(name).filter(|p| p.stands.0 != Standing::Down)?;
+        let peer = self.peers.get(name).filter(|p| p.is_there())?;
         let notice = peer.notice.as_ref().filter(|n| n.id != 0)?;
         Some(Shown { id: notice.id, cluster: notice.cluster, promised: notice.promised })
     }
 
     fn found(&mut self) {
         // Somebody decides already: what lets us in is a leader's word.
-        let decides = |p: &Peer| {
-            p.stands.0 != Standing::Down && p.notice.as_ref().is_some_and(|n| n.votes && n.cluster != 0)
-        };
+        let decides = |p: &Peer| p.is_there() && p.notice.as_ref().is_some_and(|n| n.votes && n.cluster != 0);
         let ours = |p: &Peer| self.options.founders.contains(&p.name);
         if self.peers.values().any(|p| decides(p) && !ours(p)) {
             return;
@@ -871,9 +874,7 @@
         };
         let seat = |&id: &u64| {
             let name = replica.state().voters.get(&id)?.clone();
-            let peer = self.peers.get(&name).filter(|p| p.stands.0 != Standing::Down);
-            let shows = peer.and_then(|p| p.notice.as_ref()).map(|n| n.id).filter(|&id| id != 0);
-            let shows = if name == self.me { Some(self.id) } else { shows };
+            let shows = if name == self.me { Some(self.id) } else { self.shown(&name).map(|s| s.id) };
             Some(Seat { stands: stands(&name), shows, voter: (id, name) })
         };
         let seats: Vec<Seat> = deciding.iter().filter_map(seat).collect();
@@ -910,7 +911,7 @@
             return;
         }
         let known = self.notice().knows;
-        let tells = |p: &&Peer| p.stands.0 != Standing::Down;
+        let tells = |p: &&Peer| p.is_there();
         let notices = || self.peers.values().filter(tells).filter_map(|p| Some((p, p.notice.as_ref()?)));
         // Which log: one that has a leader, the latest founded if there are several.
         let led = notices().filter(|(_, n)| n.votes && !n.leader.is_empty()).max_by_key(|(_, n)| n.term);
@@ -954,9 +955,7 @@
             self.counters.unanswered += 1;
             self.outcomes.push_back((request, Err(Unanswered::InTime)));
         }
-        let leader = self.leader();
         let cluster = self.cluster();
-        let voters: Vec<String> = self.state().voters.values().filter(|v| **v != self.me).cloned().collect();
         let Some(asking) = self.asks.front_mut().filter(|a| now >= a.again) else { return };
         if cluster == 0 {
             return;
@@ -974,7 +973,9 @@
         if self.has_agreed(clock, &me, (session, request), command.clone()) {
             return;
         }
-        let to = leader.filter(|l| *l != me).or_else(|| voters.choose(&mut self.rng).cloned());
+        let leader = self.leader().filter(|l| *l != me);
+        let voters: Vec<String> = self.state().voters.values().filter(|v| **v != me).cloned().collect();
+        let to = leader.or_else(|| voters.choose(&mut self.rng).cloned());
         if let Some(to) = to {
             self.say(&to, &Word::Ask { cluster, session, request, command });
         }
@@ -983,9 +984,7 @@
     /// How things stand.
     pub fn view(&self) -> View {
         let state = self.state();
-        let there = |name: &String| {
-            *name == self.me || self.peers.get(name).is_some_and(|p| p.stands.0 != Standing::Down)
-        };
+        let there = |name: &String| *name == self.me || self.peers.get(name).is_some_and(|p| p.is_there());
         let part = match (&self.replica, &self.founding) {
             (Some(r), _) if r.broken || r.beyond => Role::Unfit,
             (Some(r), _) if r.votes() => Role::Votes,
--- a/crates/fleet/src/agreed/replica.rs
+++ b/crates/fleet/src/agreed/replica.rs
@@ -198,9 +198,14 @@
         })
     }
 
-    /// Which log, and which replica of it.
-    pub fn founded(&self) -> Founded {
-        self.log.0.borrow().founded.clone()
+    /// Which log.
+    pub fn cluster(&self) -> u64 {
+        self.log.0.borrow().founded.cluster
+    }
+
+    /// Which replica of it.
+    pub fn id(&self) -> u64 {
+        self.raw.raft.id
     }
 
     /// What is agreed, as far as this one knows.
--- a/crates/fleet/src/agreed/rights.rs
+++ b/crates/fleet/src/agreed/rights.rs
@@ -221,12 +221,6 @@
         outcome
     }
 
-    /// Time has passed in the log, and nothing else.
-    pub fn pass(&mut self, time: Micros) {
-        self.time = self.time.max(time);
-        self.end_what_is_over();
-    }
-
     fn end_what_is_over(&mut self) {
         let now = self.time;
         self.lent.retain(|_, r| r.stays || r.end > now);
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -37,8 +37,6 @@
     FromTheAnswer,
     /// A leader's time begins with its own clock, ahead of what was agreed.
     OwnClock,
-    /// A leader lends before it knows what earlier ones agreed.
-    Hasty,
 }
 
 /// A log's entry: its term, and what it says; a leader's first says nothing.
@@ -314,7 +312,7 @@
             Step::Propose(n, a) => {
                 let v = &w.voters[n];
                 let knows_all = v.agreed > 0 && v.log[v.agreed - 1].0 == v.term;
-                if !knows_all && self.wrong != Wrong::Hasty {
+                if !knows_all {
                     return None;
                 }
                 let (_, command) = w.askers[a].asked.clone()?;
