Engine list: an event that was cut is asked for again, so that no drain stays unknown

Checked: the event reader itself keeps pieces apart in all cuts (wires.rs, random pieces); only a broken one in full length is concerned. Now the stream is opened anew behind the last whole event, three times at most for the same one, then it is left out as before, since one that is never whole must not keep later ones out.

Test: an_event_that_was_cut_is_asked_for_again_…; it fails without the change (the first connection gives one update, none asked again).

--- a/crates/node/src/members/stream.rs
+++ b/crates/node/src/members/stream.rs
@@ -76,11 +76,17 @@
     }
 }
 
+/// An event that can't be read is asked for again so often: a cut one is whole the next time, and without it a drain would stay
+/// unknown. One that is never whole must not keep the later ones out.
+const AGAIN_MOST: u8 = 3;
+
 /// The platform's stream of changes.
 pub struct Stream {
     host: String,
     /// Number of the last event taken over.
     last: u64,
+    /// How often the event behind that could not be read.
+    spoilt: u8,
     http: ResponseReader,
     events: EventReader,
 }
@@ -89,21 +95,28 @@
     /// The stream behind the event of this number.
     pub fn new(host: String, last: u64) -> Stream {
         let (http, events) = Default::default();
-        Stream { host, last, http, events }
+        Stream { host, last, spoilt: 0, http, events }
     }
 
-    fn take(&mut self, event: ServerEvent, updates: &mut Vec<JsonValue>) {
-        let json = match parse(event.data.as_bytes()) {
-            Ok(json) => json,
-            Err(e) => return tracing::warn!("engine list: {e}"),
-        };
+    /// Takes an event over; an error if it has to be asked for again.
+    fn take(&mut self, event: ServerEvent, updates: &mut Vec<JsonValue>) -> Result<(), String> {
+        let json = parse(event.data.as_bytes());
+        let index = json.as_ref().ok().and_then(|json| Json(Some(json)).get("index").whole());
+        let number = event.id.or(index);
         // After a new connection events may come again.
-        let number = event.id.or(Json(Some(&json)).get("index").whole());
         if number.is_some_and(|n| n <= self.last) {
-            return;
+            return Ok(());
+        }
+        if let (Err(e), true) = (&json, self.spoilt < AGAIN_MOST) {
+            self.spoilt += 1;
+            return Err(format!("the event behind {} can't be read: {e}", self.last));
         }
-        self.last = number.unwrap_or(self.last);
-        updates.push(json);
+        (self.last, self.spoilt) = (number.unwrap_or(self.last), 0);
+        match json {
+            Ok(json) => updates.push(json),
+            Err(e) => tracing::warn!("engine list: an event is left out: {e}"),
+        }
+        Ok(())
     }
 }
 
@@ -129,7 +142,7 @@
                 ResponsePart::End => return Err("the stream ended".into()),
             }
             for event in events.drain(..) {
-                self.take(event, updates);
+                self.take(event, updates)?;
             }
         }
         Ok(())
--- a/crates/node/tests/wires.rs
+++ b/crates/node/tests/wires.rs
@@ -302,6 +302,30 @@
     check(same as fn(Vec<u8>, Vec<u8>) -> bool);
 }
 
+#[test]
+fn an_event_that_was_cut_is_asked_for_again_and_one_that_is_never_whole_keeps_no_later_one_out() {
+    let mut stream = Stream::new("h".into(), 4);
+    let mut connection = |events: &str| {
+        let asked = String::from_utf8(stream.open()).unwrap();
+        let asked = asked.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap().to_string();
+        let bytes = [b"HTTP/1.1 200 OK\r\n\r\n", events.as_bytes()].concat();
+        let (mut updates, mut out) = (Vec::new(), Vec::new());
+        let ended = stream.feed(&bytes, &mut out, &mut updates).is_err();
+        (asked, ended, updates.len())
+    };
+    // It breaks off in the middle, and the next one comes right behind it.
+    let cut = "id: 5\ndata: {\"index\":5,\"endp\nid: 6\ndata: {\"index\":6}\n\n";
+    let whole = "id: 5\ndata: {\"index\":5}\n\nid: 6\ndata: {\"index\":6}\n\n";
+    assert_eq!(connection(cut), ("4".into(), true, 0));
+    assert_eq!(connection(whole), ("4".into(), false, 2));
+    let never = "id: 7\ndata: {\n\nid: 8\ndata: {\"index\":8}\n\n";
+    for _ in 0..3 {
+        assert_eq!(connection(never), ("6".into(), true, 0));
+    }
+    assert_eq!(connection(never), ("6".into(), false, 1));
+    assert_eq!(connection(""), ("8".into(), false, 0));
+}
+
 fn apply(roster: &mut Roster, text: &str) -> Change {
     let json: JsonValue = format!("{{\"endpoints\":{text}}}").parse().expect("JSON");
     take(roster, &json)
