Lines: an id that failed on a connection goes by another one the next time

A further attempt of a request carries the same id; where it went to the same engine by the same connection, the first attempt's second FAULT or SHED ended it: a read lost an attempt and a load that ran was answered as failed. Lines at fault: Lines::takes in backs/lines.rs, which looked only at what is open.

Now a connection remembers the last 64 ids that ended there unserved (failed, stopped, pages late), and does not carry them again; late answers come within milliseconds, so 64 are ample. The random model held that an id may start again at once; it is replaced by one that gives each run of an id its own name, asserts that the earlier name is not taken, and lets late answers to it come in between.

--- a/crates/node/src/backs/lines.rs
+++ b/crates/node/src/backs/lines.rs
@@ -2,7 +2,7 @@
 
 use super::{Seen, Session, Start};
 use driftfront_core::{AttemptKey, Cause, Micros, Note, Outcome, Piece, Told};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write as _;
 use std::rc::Rc;
 
@@ -17,6 +17,8 @@
 /// A page that has not come by then is asked for again; a result that is not whole by then never will be.
 const PAGE_AGAIN: Micros = 250_000;
 const PAGES_LATE: Micros = 1_200_000;
+/// Requests given up on a connection, or failed there, whose ids it does not carry again.
+const ENDED_MOST: usize = 64;
 /// The largest figure that is believed, of work in ms and of memory in MB, and the largest grant written.
 const FIGURE_MOST: f64 = 1e9;
 const GRANT_MOST: f64 = 1e9;
@@ -108,6 +110,9 @@
 pub struct Lines {
     reader: Reader,
     open: BTreeMap<Rc<str>, Open>,
+    /// Ids that ended here without being served, the oldest first. An answer to the earlier attempt may still come, or come a
+    /// second time, and would be taken for a later attempt's: that goes by another connection.
+    ended: VecDeque<Rc<str>>,
     probes: Vec<u64>,
     most: usize,
     gauges: Rc<[String]>,
@@ -118,8 +123,17 @@
 impl Lines {
     /// A conversation that carries so many requests; `gauges` names a report's values in order.
     pub fn new(most: usize, gauges: Rc<[String]>) -> Lines {
-        let (reader, open, probes) = Default::default();
-        Lines { reader, open, probes, most, gauges, within: None }
+        let (reader, open, ended, probes) = Default::default();
+        Lines { reader, open, ended, probes, most, gauges, within: None }
+    }
+
+    /// What was open under this id ended without being served.
+    fn end(&mut self, id: &str) {
+        let Some((id, _)) = self.open.remove_entry(id) else { return };
+        if self.ended.len() >= ENDED_MOST {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(id);
     }
 
     fn report(&self, answer: &Answer) -> Vec<f64> {
@@ -161,7 +175,7 @@
         let Some(open) = self.open.get_mut(&*answer.id) else { return Ok(()) };
         let key = open.key;
         if let Some(cause) = cause {
-            self.open.remove(&*answer.id);
+            self.end(&answer.id);
             seen.push(Seen::Told(key, Told { report, ..Told::default() }));
             seen.push(Seen::Failed(key, cause));
         } else if answer.word == "INFO" {
@@ -272,7 +286,8 @@
         self.open.len()
     }
     fn takes(&self, call: &str) -> bool {
-        self.open.len() < self.most && !self.open.contains_key(call)
+        let known = self.open.contains_key(call) || self.ended.iter().any(|id| **id == *call);
+        self.open.len() < self.most && !known
     }
     fn is_idle(&self) -> bool {
         self.open.is_empty() && self.probes.is_empty()
@@ -296,7 +311,7 @@
     fn stop(&mut self, key: AttemptKey, out: &mut Vec<u8>) -> bool {
         if let Some(call) = self.open.iter().find(|o| o.1.key == key).map(|o| o.0.clone()) {
             out.extend(format!("STOP {call}\r\n").bytes());
-            self.open.remove(&call);
+            self.end(&call);
         }
         true
     }
@@ -338,8 +353,10 @@
                 open.ask_for_missing(id, out);
             }
         }
-        for open in late.iter().filter_map(|id| self.open.remove(id)) {
-            seen.push(Seen::Failed(open.key, Cause::Spoilt("its pages never came".into())));
+        for id in late {
+            let key = self.open.get(&id).map(|o| o.key);
+            self.end(&id);
+            seen.extend(key.map(|key| Seen::Failed(key, Cause::Spoilt("its pages never came".into()))));
         }
         Ok(())
     }
--- a/crates/node/tests/wires.rs
+++ b/crates/node/tests/wires.rs
@@ -121,31 +121,41 @@
 
 #[test]
 fn a_connection_in_lines_follows_its_model() {
-    // The model: for each id open, how many of its three pages have come.
+    // The model: for each request open, how many of its three pages have come; and how often it ended without being served,
+    // since its id goes by this connection no more then.
     fn follows(steps: Vec<Step>, cuts: Vec<u8>) -> bool {
         let mut lines = Lines::new(32, Rc::from(["inflight".to_string()]));
         let (mut model, mut probes): (BTreeMap<u8, usize>, Vec<u64>) = (BTreeMap::new(), Vec::new());
+        let mut ended = [0usize; 4];
         let key = |id: u8| AttemptKey { request: RequestId(u64::from(id)), number: 0 };
         for (n, step) in steps.iter().enumerate() {
             let (mut out, mut seen, mut want, mut text) = (Vec::new(), Vec::new(), Vec::new(), String::new());
+            let times = ended;
+            let call = |id: u8| format!("c{id}.{}", times[usize::from(id)]);
+            let earlier = |id: u8| Some(format!("c{id}.{}", times[usize::from(id)].checked_sub(1)?));
             match *step {
                 Step::Start(id) if !model.contains_key(&id) => {
-                    let ask = ask(&format!("c{id}"));
+                    let ask = ask(&call(id));
                     assert!(lines.takes(&ask.call));
+                    assert!(earlier(id).is_none_or(|call| !lines.takes(&call)));
                     lines.start(&Start { patience: 1_500_999, ..start(key(id), &ask) }, &mut out);
-                    assert_eq!(String::from_utf8_lossy(&out), format!("REQ c{id} kind=k,ms=1500 1\r\nx\r\n"));
+                    assert_eq!(
+                        String::from_utf8_lossy(&out),
+                        format!("REQ {} kind=k,ms=1500 1\r\nx\r\n", ask.call)
+                    );
                     model.insert(id, 0);
                 }
-                Step::Start(id) => assert!(!lines.takes(&format!("c{id}"))),
+                Step::Start(id) => assert!(!lines.takes(&call(id))),
                 Step::Page(id, twice) => {
                     let come = model.get(&id).copied().unwrap_or(0);
                     text = match come {
-                        0 => format!("c{id} HIT fetches=3 6\r\n0\ta\tb\n\r\n"),
-                        come => format!("c{id} PART fetch_no={come} 6\r\n{come}\ta\tb\n\r\n"),
+                        0 => format!("{} HIT fetches=3 6\r\n0\ta\tb\n\r\n", call(id)),
+                        come => format!("{} PART fetch_no={come} 6\r\n{come}\ta\tb\n\r\n", call(id)),
                     };
                     if twice {
-                        // The copy is not the model's, and neither is an answer under an unknown id.
-                        text = format!("{text}{text}c9 HIT fetches=1 0\r\n\r\n");
+                        // The copy is not the model's, and neither is an answer under an unknown id, or to an attempt that ended.
+                        let other = earlier(id).unwrap_or("c9".into());
+                        text = format!("{text}{text}{other} HIT fetches=1 0\r\n\r\n");
                     }
                     if model.contains_key(&id) {
                         want.push(Seen::Begun(key(id)));
@@ -159,21 +169,24 @@
                     }
                 }
                 Step::Note(id) => {
-                    text = format!("c{id} INFO res=w,figure=2 0\r\n\r\n");
+                    text = format!("{} INFO res=w,figure=2 0\r\n\r\n", call(id));
                     let note = driftfront_core::Note::WaitsForLoad;
                     want.extend(model.contains_key(&id).then_some(Seen::Noted(key(id), note)));
                 }
                 Step::End(id, full) => {
-                    text = format!("c{id} {} - 0\r\n\r\n", if full { "SHED" } else { "FAULT" });
+                    text = format!("{} {} - 0\r\n\r\n", call(id), if full { "SHED" } else { "FAULT" });
                     let cause = if full { Cause::TurnedAway } else { Cause::Engine("FAULT".into()) };
                     if model.remove(&id).is_some() {
+                        ended[usize::from(id)] += 1;
                         want.extend([told(key(id)), Seen::Failed(key(id), cause)]);
                     }
                 }
                 Step::Stop(id) => {
                     assert!(lines.stop(key(id), &mut out));
-                    let stop = format!("STOP c{id}\r\n");
-                    assert_eq!(out, if model.remove(&id).is_some() { stop.into_bytes() } else { Vec::new() });
+                    let was_open = model.remove(&id).is_some();
+                    let stop = if was_open { format!("STOP {}\r\n", call(id)) } else { String::new() };
+                    assert_eq!(String::from_utf8_lossy(&out), stop);
+                    ended[usize::from(id)] += usize::from(was_open);
                 }
                 Step::Probe if probes.len() < 8 => {
                     lines.probe(n as u64, &mut out);
