--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -3,7 +3,7 @@
 use crate::{Core, Due, RequestId};
 use fernlink::interface::{Event, Micros, Query};
 
-/// Advice with a refusal that only the bound on open requests caused.
+/// Advice with a refusal that a bound here caused, not the engines.
 pub(crate) const FULL_ADVICE: Micros = 250_000;
 /// Why a query under a word that may have run too long ago is not run.
 const TOKEN_LATE: &str =
@@ -13,7 +13,13 @@
 impl Core {
     pub(crate) fn admit(&mut self, now: Micros, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        if self.open > self.limits.open || usize::from(request.ask.class) >= self.classes {
+        let forgetful = self.tokens.is_full(now, request.ask.class, request.ask.token.as_ref());
+        self.counters.tokens_full += u64::from(forgetful);
+        if forgetful
+            || self.leaves
+            || self.open > self.limits.open
+            || usize::from(request.ask.class) >= self.classes
+        {
             return self.refuse(id, FULL_ADVICE);
         }
         // Two open under one name can't be told apart by what engines answer: the later one gets none of it.
--- a/crates/core/src/book.rs
+++ b/crates/core/src/book.rs
@@ -64,8 +64,8 @@
     pub tokens_late: u64,
     /// Requests of a tenant that the settings don't name, where they name some.
     pub tenants_unnamed: u64,
-    /// Words of keyed requests dropped early: the bound on them bit.
-    pub tokens_dropped: u64,
+    /// Keyed requests refused, since no more of their words can be remembered.
+    pub tokens_full: u64,
     /// Keyed attempts without a word to know their repeats by: they run once.
     pub tokens_missing: u64,
 }
@@ -93,7 +93,7 @@
             ("attempts_called_off", self.stopped),
             ("tokens_late", self.tokens_late),
             ("tokens_missing", self.tokens_missing),
-            ("tokens_dropped", self.tokens_dropped),
+            ("tokens_full", self.tokens_full),
             ("tenants_unnamed", self.tenants_unnamed),
         ] {
             writeln!(f, "{name} {count}")?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,8 @@
     pub answer_margin: Micros,
     /// Attempts of unknown fate that are remembered by name, so that they can be found and killed; 0 for none.
     pub doubts: usize,
+    /// Words of keyed requests that are remembered; new ones are refused beyond that.
+    pub tokens: usize,
     /// Engines tell of each attempt by itself, as often as the settings say: one that nothing is told of is lost.
     pub tells_each: bool,
 }
@@ -132,6 +134,10 @@
     limits: Limits,
     classes: usize,
     has_tenants: bool,
+    /// The longest advice with a refusal; `None` where none is heeded.
+    advice_most: Option<Micros>,
+    /// The process leaves: nothing more is taken on.
+    leaves: bool,
     requests: BTreeMap<RequestId, Request>,
     /// Names of requests that have no final answer yet; whoever closes one removes its name.
     names: BTreeMap<Rc<str>, RequestId>,
@@ -154,8 +160,10 @@
         Core {
             classes: settings.classes.len(),
             has_tenants: !settings.tenants.is_empty(),
+            advice_most: settings.retry_after,
+            leaves: false,
             unheard: unheard::Unheard::new(&settings, limits.tells_each),
-            tokens: tokens::Tokens::new(&settings),
+            tokens: tokens::Tokens::new(&settings, limits.tokens),
             controller: Controller::new(settings, seed),
             limits,
             requests: BTreeMap::new(),
@@ -196,6 +204,11 @@
         self.end_unheard(now);
     }
 
+    /// From now on each request is refused as it comes: the process leaves.
+    pub fn leave(&mut self) {
+        self.leaves = true;
+    }
+
     /// Requests with no final answer yet.
     pub fn open(&self) -> usize {
         self.open
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -19,11 +19,19 @@
 /// From here on none is kept idle. A request that comes later than 2 s after the no would still be open, and count as
 /// fed, when the drain is looked at after 4 s; this leaves time for what crosses a close.
 const NO_MORE_IDLE: Micros = 1_500_000;
-/// After SIGTERM new requests may come for this long: 0.4 s of connections, 0.2 s more on them, and spare.
-const LINGER: Micros = 800_000;
+/// After SIGTERM new connections come for 0.4 s and requests on open ones for 0.2 s more. What is read later than this may be
+/// owed an answer still when SIGKILL comes, so it is refused at once, and connections at rest close.
+pub const GRACE: Micros = 700_000;
+/// The process listens for so long after SIGTERM: the grace, and spare for what is on its way.
+pub const LISTENS: Micros = 800_000;
+/// Clients have so long to close their side behind our last answer, since a connection that ends with the process while
+/// bytes come on it is reset, and what the client has not read yet goes with that.
+const LAST_CLOSE: Micros = 250_000;
 /// SIGKILL comes this long after SIGTERM in an upgrade, or sooner where no deadline is that long, and 0.7 s more; the
 /// last answers go out so much before it.
 const KILLED_AFTER: Micros = 5_000_000;
+/// The same at a planned restart, on a platform that kills.
+pub const RESTART_KILLS_AFTER: Micros = 3_000_000;
 const KILL_SPARE: Micros = 700_000;
 const LAST_WORD: Micros = 300_000;
 
@@ -71,14 +79,19 @@
     empty: bool,
     successor: Option<Micros>,
     ending: Option<Micros>,
+    /// All was answered then, after the signal.
+    answered: Option<Micros>,
     /// The longest time that a client waits, for the time of SIGKILL.
     longest: Micros,
+    /// Whether SIGKILL follows SIGTERM at a planned restart, too.
+    killed: bool,
 }
 
 impl Lifecycle {
     /// A process that starts. `succeeds`: another one serves meanwhile at its address. `held`: its listening socket is held
-    /// by somebody else, too. `longest`: the longest deadline.
-    pub fn new(succeeds: bool, held: bool, longest: Micros) -> Lifecycle {
+    /// by somebody else, too. `longest`: the longest deadline. `killed`: whoever sends SIGTERM sends SIGKILL behind it, by the
+    /// platform's rules.
+    pub fn new(succeeds: bool, held: bool, longest: Micros, killed: bool) -> Lifecycle {
         Lifecycle {
             begun: false,
             succeeds,
@@ -87,7 +100,9 @@
             empty: false,
             successor: None,
             ending: None,
+            answered: None,
             longest,
+            killed,
         }
     }
 
@@ -170,6 +185,11 @@
         self.successor.into_iter().chain(self.ending.filter(|_| self.held)).min()
     }
 
+    /// Since when the process leaves for good: no successor or holder of its socket takes what comes, and the grace is over.
+    fn leaves(&self) -> Option<Micros> {
+        self.ending.filter(|_| self.left().is_none()).map(|at| at + GRACE)
+    }
+
     /// Whether new connections are taken from the backlog. A successor that is not ready yet leaves them to the earlier
     /// process, and that one leaves them to its successor: the backlog is the same. A drained process still takes what
     /// comes: it is asked here whether it is ready, and who comes all the same is served.
@@ -177,28 +197,47 @@
         self.left().is_none() && (self.begun || !self.succeeds)
     }
 
+    /// Whether the listening socket stays open. Once the process leaves for good, who connects is better told by the system
+    /// that nobody is here.
+    pub fn listens(&self, now: Micros) -> bool {
+        self.leaves().is_none() || self.ending.is_some_and(|at| now < at + LISTENS)
+    }
+
+    /// Whether a request that is read now is taken; else it is refused at once.
+    pub fn takes(&self, now: Micros) -> bool {
+        self.leaves().is_none_or(|at| now < at)
+    }
+
     /// Whether each answer tells its client that the connection closes.
-    pub fn sends_away(&self) -> bool {
-        self.left().is_some() || self.paused.is_some()
+    pub fn sends_away(&self, now: Micros) -> bool {
+        self.left().is_some() || self.paused.is_some() || !self.takes(now)
     }
 
     /// Whether a connection may stay on which nothing was open for this long.
     pub fn keeps(&self, now: Micros, idle: Micros) -> bool {
+        if !self.takes(now) {
+            return false;
+        }
         // What shuts the door first counts.
         let Some(since) = self.left().into_iter().chain(self.paused).min() else { return true };
         let gone = now.saturating_sub(since);
         gone < FRONT_HEARS || gone < NO_MORE_IDLE && idle < QUIET
     }
 
-    /// Whether the process may end, with so many requests and clients' connections open.
-    pub fn may_end(&self, now: Micros, open: usize, clients: usize, writing: bool) -> bool {
+    /// Whether the process may end, at each look, with so many requests and clients' connections open.
+    pub fn may_end(&mut self, now: Micros, open: usize, clients: usize, writing: bool) -> bool {
         let Some(since) = self.ending else { return false };
         let answered = open == 0 && !writing;
-        match self.left() {
+        if self.left().is_some() {
             // New connections are the successor's; those that are left here close in order.
-            Some(_) => answered && clients == 0,
-            None => answered && now >= since + LINGER,
+            return answered && clients == 0;
+        }
+        if !answered || now < since + LISTENS {
+            self.answered = None;
+            return false;
         }
+        let answered = *self.answered.get_or_insert(now);
+        clients == 0 || now >= answered + LAST_CLOSE
     }
 
     /// When all that is still open has to be answered, since the process is killed soon after.
@@ -206,130 +245,11 @@
         let since = self.ending.filter(|_| self.left().is_some())?;
         Some(since + self.longest.min(KILLED_AFTER) + KILL_SPARE - LAST_WORD)
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use quickcheck::{Arbitrary, Gen, QuickCheck};
-
-    const S: Micros = 1_000_000;
-
-    #[derive(Clone, Debug)]
-    enum Step {
-        Begin,
-        Pause,
-        Resume,
-        Successor(bool),
-        End,
-        Look(usize),
-        Wait(Micros),
-    }
-
-    impl Arbitrary for Step {
-        fn arbitrary(g: &mut Gen) -> Step {
-            match u8::arbitrary(g) % 10 {
-                0 => Step::Begin,
-                1..=2 => Step::Pause,
-                3..=4 => Step::Resume,
-                5 => Step::Successor(bool::arbitrary(g)),
-                6 => Step::End,
-                7 => Step::Look(usize::from(u8::arbitrary(g) % 2)),
-                _ => Step::Wait(u64::from(u16::arbitrary(g)) * 100),
-            }
-        }
-    }
-
-    /// What holds after any steps: see the single checks.
-    fn holds(steps: Vec<Step>, succeeds: bool, held: bool) -> bool {
-        let (mut life, mut now) = (Lifecycle::new(succeeds, held, 25 * S), S);
-        let (mut begun, mut paused, mut successor, mut ending) = (false, None, None, None);
-        for step in steps {
-            match step {
-                Step::Begin => {
-                    life.begin();
-                    begun = true;
-                }
-                Step::Pause => {
-                    if life.pause(now) != paused.is_none() {
-                        return false;
-                    }
-                    paused.get_or_insert(now);
-                }
-                Step::Resume => {
-                    if life.resume() != paused.take().is_some() {
-                        return false;
-                    }
-                }
-                Step::Successor(there) => {
-                    life.succeeded(now, there);
-                    successor = there.then(|| successor.unwrap_or(now));
-                }
-                Step::End => {
-                    life.end(now);
-                    ending.get_or_insert(now);
-                }
-                Step::Look(clients) => drop(life.look(clients)),
-                Step::Wait(for_) => now += for_,
-            }
-            let free = paused.is_none() && successor.is_none() && ending.is_none();
-            // Yes is said only by one that serves; never both by it and a ready successor.
-            let ready = life.is_ready() == (begun && free);
-            // Somebody accepts, unless a successor does, or the earlier process still does.
-            let left = successor.into_iter().chain(ending.filter(|_| held)).min();
-            let accepts = life.accepts() == (left.is_none() && (begun || !succeeds));
-            // 2 s after a drain, or a hand-over, began none is kept, however lately it was used.
-            let away = paused.into_iter().chain(left).min();
-            let kept = !away.is_some_and(|at| now >= at + 2 * S && life.keeps(now, 0));
-            let told = life.sends_away() == away.is_some();
-            let stays = ending.is_some() || !life.may_end(now, 0, 0, false);
-            let answers = !life.may_end(now, 1, 1, false) && !life.may_end(now, 0, 1, true);
-            if !(ready && accepts && kept && told && stays && answers) {
-                return false;
-            }
-        }
-        true
-    }
-
-    #[test]
-    fn yes_is_said_and_connections_are_kept_only_while_it_serves() {
-        let mut check = QuickCheck::new().tests(20_000).rng(Gen::from_size_and_seed(40, 18));
-        check.quickcheck(holds as fn(Vec<Step>, bool, bool) -> bool);
-    }
-
-    #[test]
-    fn a_drain_closes_quiet_connections_first_and_ends_with_a_call_back() {
-        let mut life = Lifecycle::new(false, false, 25 * S);
-        assert!(life.begin() && life.is_ready() && life.keeps(0, 5 * S));
-        assert!(life.pause(10 * S) && !life.pause(11 * S) && life.accepts());
-        assert!(life.keeps(10 * S + 200_000, S));
-        assert!(!life.keeps(10 * S + 400_000, S) && life.keeps(10 * S + 400_000, 100_000));
-        assert!(!life.look(1) && life.look(0) && life.state() == State::Drained);
-        assert!(life.resume() && life.is_ready() && life.keeps(14 * S, 5 * S) && !life.resume());
-    }
 
-    #[test]
-    fn what_hands_over_gives_its_last_answers_before_it_is_killed_and_stays_while_clients_do() {
-        let mut life = Lifecycle::new(false, false, 25 * S);
-        life.begin();
-        assert!(life.succeeded(S, true) && !life.succeeded(S, true) && !life.accepts());
-        // Its successor dies before the signal: this one serves on.
-        assert!(life.succeeded(2 * S, false) && life.is_ready() && life.accepts());
-        life.succeeded(3 * S, true);
-        assert!(!life.may_end(4 * S, 0, 0, false));
-        life.end(4 * S);
-        assert!(life.may_end(4 * S, 0, 0, false) && !life.may_end(9 * S, 0, 1, false));
-        assert_eq!(life.last_word(), Some(9 * S + 400_000));
-        // Without a successor a signal means what it meant.
-        let mut alone = Lifecycle::new(false, false, 25 * S);
-        alone.end(S);
-        assert!(!alone.may_end(S + 700_000, 0, 0, false) && alone.may_end(S + 800_000, 0, 3, false));
-        assert_eq!(alone.last_word(), None);
-        // But where the socket is held, what comes is the next process's, whether that is heard of or not.
-        let mut held = Lifecycle::new(false, true, 25 * S);
-        held.begin();
-        held.end(4 * S);
-        assert!(!held.accepts() && held.sends_away() && !held.may_end(6 * S, 0, 1, false));
-        assert_eq!(held.last_word(), Some(9 * S + 400_000));
+    /// When all that has not gone to an engine is answered, as the process may be killed soon after a planned restart's
+    /// signal: its client can still be served elsewhere. What is out may be answered until then.
+    pub fn last_refusals(&self) -> Option<Micros> {
+        let since = self.ending.filter(|_| self.killed && self.left().is_none())?;
+        Some(since + self.longest.min(RESTART_KILLS_AFTER) + KILL_SPARE - LAST_WORD)
     }
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -33,6 +33,8 @@
             return self.fail(id);
         }
         let words = self.requests.get(&id).and_then(|r| r.words.clone());
+        // Where the settings allow no advice, or none that long, clients would not heed it.
+        let advice = self.advice_most.map_or(0, |most| advice.min(most));
         if self.close(id) {
             self.counters.refused += 1;
             self.commands.push_back(Command::Refuse(id, advice, words));
@@ -76,17 +78,32 @@
     pub fn answer_all(&mut self, now: Micros) {
         let ids: Vec<RequestId> = self.requests.iter().filter(|r| !r.1.closed).map(|r| *r.0).collect();
         for id in ids {
-            let ran = |a: &crate::send::Attempt| match a.outcome {
-                Some(outcome) => !outcome.never_ran(),
-                // Of what waits for its connection nothing is written once the request is closed.
-                None => a.progress >= crate::send::Progress::PartWritten,
-            };
-            match self.requests.get(&id).is_some_and(|r| r.attempts.iter().any(ran)) {
-                true => self.fail(id),
-                false => self.refuse(id, crate::admit::FULL_ADVICE),
-            }
-            self.tell(now, Event::ClientGone(crate::query(id)));
+            self.answer_now(now, id);
+        }
+    }
+
+    /// The process may be killed soon, and what is at no engine will hardly be served before that: it is refused where it
+    /// never ran, so that its client may try elsewhere, else failed.
+    pub fn answer_waiting(&mut self, now: Micros) {
+        let waits = |r: &crate::Request| !r.closed && r.out().is_none();
+        let ids: Vec<RequestId> = self.requests.iter().filter(|r| waits(r.1)).map(|r| *r.0).collect();
+        for id in ids {
+            self.answer_now(now, id);
+        }
+    }
+
+    /// Answers an open request as far as it has come: a refusal where it never ran, else a failure.
+    fn answer_now(&mut self, now: Micros, id: RequestId) {
+        let ran = |a: &crate::send::Attempt| match a.outcome {
+            Some(outcome) => !outcome.never_ran(),
+            // Of what waits for its connection nothing is written once the request is closed.
+            None => a.progress >= crate::send::Progress::PartWritten,
+        };
+        match self.requests.get(&id).is_some_and(|r| r.attempts.iter().any(ran)) {
+            true => self.fail(id),
+            false => self.refuse(id, crate::admit::FULL_ADVICE),
         }
+        self.tell(now, Event::ClientGone(crate::query(id)));
     }
 
     /// Closes a request; false if it was closed before. Whoever closes it gives the one final answer.
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -216,7 +216,6 @@
         if ready && left > 0 && !closed && known {
             if let Some(token) = token {
                 self.tokens.written(now, class, &token, key, deadline);
-                self.counters.tokens_dropped = self.tokens.dropped;
             }
             self.out(key)?.written = now;
             return Some(left);
--- a/crates/core/src/take_in.rs
+++ b/crates/core/src/take_in.rs
@@ -94,6 +94,21 @@
 impl Core {
     /// Takes a request in; from here on one final answer is owed.
     pub fn take(&mut self, now: Micros, ask: Ask) -> RequestId {
+        let id = self.enter(now, ask);
+        self.admit(now, id);
+        id
+    }
+
+    /// A request whose client had left before it was read: nothing of it goes to an engine, and nobody is owed an answer.
+    pub fn take_left(&mut self, now: Micros, ask: Ask) {
+        let id = self.enter(now, ask);
+        if self.close(id) {
+            self.counters.left += 1;
+        }
+        self.drop_if_over(id);
+    }
+
+    fn enter(&mut self, now: Micros, ask: Ask) -> RequestId {
         let id = RequestId(self.next());
         let deadline = now.saturating_add(ask.budget);
         self.counters.taken += 1;
@@ -110,10 +125,14 @@
             grant_mb: 0.0,
         };
         self.requests.insert(id, request);
-        self.admit(now, id);
         id
     }
 
+    /// The open request of this name, if there is one.
+    pub fn find(&self, call: &str) -> Option<RequestId> {
+        self.names.get(call).copied()
+    }
+
     /// A request that is not over, for its back end.
     pub fn taken(&self, id: RequestId) -> Option<Taken<'_>> {
         self.requests.get(&id).map(|r| Taken { ask: &r.ask, deadline: r.deadline })
--- a/crates/core/src/tokens.rs
+++ b/crates/core/src/tokens.rs
@@ -9,10 +9,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// Words remembered at once. A coordinator writes tens of keyed queries a second at most and keeps each for less than a
-/// minute.
-const MOST: usize = 8192;
-
 struct First {
     /// When its first byte was written.
     at: Micros,
@@ -30,19 +26,16 @@
     /// For how long engines drop repeats, by class; `None` where the class is not keyed.
     windows: Vec<Option<Micros>>,
     most: usize,
-    /// Words dropped early, since there were too many.
-    pub dropped: u64,
 }
 
 impl Tokens {
-    pub fn new(settings: &Settings) -> Tokens {
+    pub fn new(settings: &Settings, most: usize) -> Tokens {
         let window = |c: &fernlink::interface::Class| (c.effect == Effect::Keyed).then_some(c.repeat_window);
         Tokens {
             first: BTreeMap::new(),
             order: VecDeque::new(),
             windows: settings.classes.iter().map(window).collect(),
-            most: MOST,
-            dropped: 0,
+            most,
         }
     }
 
@@ -69,11 +62,12 @@
         }
     }
 
-    /// An attempt under this word goes out: from here on it may run.
-    pub fn written(&mut self, now: Micros, class: u16, token: &Rc<str>, by: AttemptKey, deadline: Micros) {
-        let Some(window) = self.window(class) else { return };
-        if self.first.contains_key(token) {
-            return;
+    /// Whether a query of this class under a word not known yet finds no room for it. It is not run then: a word that is
+    /// dropped early would let its client's late retry run again.
+    pub fn is_full(&mut self, now: Micros, class: u16, token: Option<&Rc<str>>) -> bool {
+        let unknown = self.is_keyed(class) && token.is_some_and(|t| !self.first.contains_key(t));
+        if !unknown || self.first.len() < self.most {
+            return false;
         }
         self.forget(now);
         if self.first.len() >= self.most {
@@ -81,16 +75,17 @@
             self.first.retain(|_, f| f.keep > now);
             self.order.retain(|(at, token)| self.first.get(token).is_some_and(|f| f.at == *at));
         }
-        if self.first.len() >= self.most {
-            // The oldest is the likeliest to be over.
-            while let Some((at, oldest)) = self.order.pop_front() {
-                if self.first.get(&oldest).is_some_and(|f| f.at == at) {
-                    self.first.remove(&oldest);
-                    self.dropped += 1;
-                    break;
-                }
-            }
+        self.first.len() >= self.most
+    }
+
+    /// An attempt under this word goes out: from here on it may run. Those admitted before the room was used up find their
+    /// place all the same: they are bounded by the requests that may be open.
+    pub fn written(&mut self, now: Micros, class: u16, token: &Rc<str>, by: AttemptKey, deadline: Micros) {
+        let Some(window) = self.window(class) else { return };
+        if self.first.contains_key(token) {
+            return;
         }
+        self.forget(now);
         let first = First { at: now, by, keep: deadline.saturating_add(window) };
         self.first.insert(token.clone(), first);
         self.order.push_back((now, token.clone()));
@@ -117,53 +112,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::RequestId;
-
-    const S: Micros = 1_000_000;
-
-    fn key(request: u64) -> AttemptKey {
-        AttemptKey { request: RequestId(request), number: 0 }
-    }
-
-    fn tokens(most: usize) -> Tokens {
-        let windows = vec![None, Some(12 * S)];
-        Tokens { first: BTreeMap::new(), order: VecDeque::new(), windows, most, dropped: 0 }
-    }
-
-    #[test]
-    fn a_word_holds_from_its_first_writing_and_is_fresh_again_if_that_never_ran() {
-        let mut all = tokens(8);
-        let word: Rc<str> = "w".into();
-        assert_eq!(all.good_until(1, Some(&word)), None);
-        all.written(S, 1, &word, key(1), 20 * S);
-        all.written(5 * S, 1, &word, key(2), 25 * S);
-        assert_eq!(all.good_until(1, Some(&word)), Some(13 * S));
-        // Another's proof says nothing of the first; nor does the word in a class that is not keyed.
-        all.never_ran(&word, key(2));
-        assert_eq!(all.good_until(1, Some(&word)), Some(13 * S));
-        assert_eq!(all.good_until(0, Some(&word)), None);
-        all.never_ran(&word, key(1));
-        assert_eq!(all.good_until(1, Some(&word)), None);
-    }
-
-    #[test]
-    fn words_are_kept_while_a_try_may_come_and_no_longer_and_never_too_many() {
-        let mut all = tokens(2);
-        let words: Vec<Rc<str>> = ["a", "b", "c", "d"].map(Rc::from).into();
-        all.written(S, 1, &words[0], key(1), 10 * S);
-        all.written(2 * S, 1, &words[1], key(2), 10 * S);
-        all.written(3 * S, 1, &words[2], key(3), 10 * S);
-        assert_eq!((all.first.len(), all.order.len(), all.dropped), (2, 2, 1));
-        assert_eq!(all.good_until(1, Some(&words[0])), None);
-        // A later try keeps its word for longer.
-        all.taken(1, Some(&words[1]), 60 * S);
-        all.written(50 * S, 1, &words[3], key(4), 55 * S);
-        assert!(all.good_until(1, Some(&words[1])).is_some());
-        all.written(90 * S, 1, &words[0], key(5), 95 * S);
-        assert!(all.good_until(1, Some(&words[1])).is_none() && all.first.len() <= 2);
-    }
-}
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -10,8 +10,14 @@
 pub const LOOKUP: u16 = 0;
 pub const LOAD: u16 = 2;
 
-pub const LIMITS: Limits =
-    Limits { open: 40, probe_timeout: 300_000, answer_margin: 3_000, doubts: 0, tells_each: true };
+pub const LIMITS: Limits = Limits {
+    open: 40,
+    probe_timeout: 300_000,
+    answer_margin: 3_000,
+    doubts: 0,
+    tokens: 64,
+    tells_each: true,
+};
 
 /// The example's settings, with another text in places.
 pub fn settings(edit: impl FnOnce(&str) -> String) -> Settings {
--- a/crates/core/tests/keyed.rs
+++ b/crates/core/tests/keyed.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::{core, listed, settings, LIMITS, LOAD, LOOKUP, S};
-use driftfront_core::{Ask, AttemptKey, Cause, Command, Core, ListKind, Listed, Phase, Progress, RequestId};
+use driftfront_core::{
+    Ask, AttemptKey, Cause, Command, Core, Limits, ListKind, Listed, Outcome, Phase, Progress, RequestId,
+};
 use std::rc::Rc;
 
 const MS: u64 = 1_000;
@@ -26,6 +28,10 @@
 
 impl Rig {
     fn new(engines: u64) -> Rig {
+        Rig::limited(engines, LIMITS)
+    }
+
+    fn limited(engines: u64, limits: Limits) -> Rig {
         let settings = settings(|text| {
             text.replace(
                 "\"single_shot\"",
@@ -34,7 +40,7 @@
             .replace("\"Cancel\": false", "\"Cancel\": true")
             .replace("\"SizeCores\"", "\"GrantsCount\": true, \"SaysCost\": true, \"SizeCores\"")
         });
-        let mut rig = Rig { core: core(settings, LIMITS), now: 1000 * S, asked: 0 };
+        let mut rig = Rig { core: core(settings, limits), now: 1000 * S, asked: 0 };
         let lines: Vec<Listed> = (1..=engines).map(|n| listed(n, Phase::Ready)).collect();
         rig.core.engines(rig.now, ListKind::Whole, &lines);
         rig.commands();
@@ -50,6 +56,7 @@
                     told.sent.push(key);
                 }
                 Command::Abandon(key, _) => told.left.push(key),
+                Command::Probe(_, tag) => self.core.probed(self.now, tag, Outcome::Ok, &[]),
                 Command::Refuse(..) => told.refused += 1,
                 Command::Fail(..) => told.failed += 1,
                 _ => {}
@@ -165,3 +172,42 @@
     let granted = rig.core.grant_mb(first);
     assert!((96.0..1000.0).contains(&granted), "{granted}");
 }
+
+#[test]
+fn no_word_is_dropped_for_want_of_room_while_its_client_may_come_again() {
+    let mut rig = Rig::limited(1, Limits { tokens: 2, ..LIMITS });
+    for word in ["a", "b"] {
+        let (_, told) = rig.ask(LOAD, Some(word));
+        rig.core.served(rig.now, told.sent[0]);
+        rig.commands();
+    }
+    // Dropping the oldest would let its client's late retry run again: who comes beyond the room is refused instead.
+    let (_, third) = rig.ask(LOAD, Some("c"));
+    assert_eq!((third.sent.len(), third.refused, rig.core.counters().tokens_full), (0, 1, 1));
+    // The words that are known need no room, and what is not keyed neither.
+    rig.wait(5 * S);
+    assert_eq!(rig.ask(LOAD, Some("a")).1.sent.len(), 1);
+    assert_eq!(rig.ask(LOOKUP, None).1.sent.len(), 1);
+    rig.wait(8 * S);
+    let (_, late) = rig.ask(LOAD, Some("b"));
+    assert_eq!((late.sent.len(), late.failed, rig.core.counters().tokens_late), (0, 1, 1));
+    // Once no try of theirs can come they make room.
+    rig.wait(60 * S);
+    assert_eq!(rig.ask(LOAD, Some("c")).1.sent.len(), 1);
+}
+
+#[test]
+fn a_word_is_fresh_again_once_its_first_writing_proves_never_to_have_run() {
+    let mut rig = Rig::new(1);
+    let (_, told) = rig.ask(LOAD, Some("w"));
+    // The engine drains and turns away what is out; nothing goes again under the word before its client leaves.
+    rig.core.engines(rig.now, ListKind::Changes, &[listed(1, Phase::Draining)]);
+    rig.core.attempt_failed(rig.now, told.sent[0], Cause::TurnedAway);
+    assert!(rig.commands().sent.is_empty());
+    rig.core.left(rig.now, told.sent[0].request);
+    rig.core.engines(rig.now, ListKind::Changes, &[listed(1, Phase::Ready)]);
+    // Behind the engines' window of what never ran.
+    rig.wait(13 * S);
+    let (_, again) = rig.ask(LOAD, Some("w"));
+    assert_eq!((again.failed, rig.core.counters().tokens_late), (0, 0));
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -126,6 +126,9 @@
 const MEMORY_MB: u64 = 192;
 const KEEP_PART: usize = 6;
 const UNREAD_PART: usize = 4;
+/// Words of keyed requests remembered at once: a coordinator writes tens of them a second at most and keeps each for less than
+/// a minute.
+const TOKENS: usize = 8192;
 /// Attempts of unknown fate that are remembered by name, so that a KILL finds them.
 const DOUBTS: usize = 1024;
 
@@ -273,6 +276,7 @@
                 probe_timeout: PROBE_TIMEOUT,
                 answer_margin: ANSWER_MARGIN,
                 tells_each: wire == Wire::Platform,
+                tokens: TOKENS,
                 doubts: if wire == Wire::ClickHouse { DOUBTS } else { 0 },
             },
             settings,
--- a/crates/node/src/fronts/mod.rs
+++ b/crates/node/src/fronts/mod.rs
@@ -21,6 +21,8 @@
     Take(Ask, Box<dyn AnswerWriter>),
     /// End the queries of these names, wherever they run.
     Kill(Box<KillAsk>),
+    /// Its client takes the request of this name back; what to say then.
+    Withdraw(Rc<str>, Vec<u8>),
 }
 
 /// Makes a request for one engine, about the query of this name there.
@@ -88,6 +90,10 @@
     fn twin(&mut self, _now: Micros, _ask: &Ask) -> Option<Vec<u8>> {
         None
     }
+    /// Whether a client makes one call at a time on a connection: what it sends far ahead is no use of its own then.
+    fn asks_in_turn(&self) -> bool {
+        false
+    }
     /// Whether a read is ended on its engine when its client leaves.
     fn frees_reads(&self) -> bool {
         false
--- a/crates/node/src/fronts/platform.rs
+++ b/crates/node/src/fronts/platform.rs
@@ -38,6 +38,10 @@
         Takes { head_most: HEAD_MOST, body_most: BODY_MOST, goes_on: false }
     }
 
+    fn asks_in_turn(&self) -> bool {
+        true
+    }
+
     fn intake(&mut self, request: Request, _now: Micros, _kept: usize) -> Intake {
         let path = request.target.split('?').next().unwrap_or_default();
         let Some(class) = path.strip_prefix("/ops/") else {
@@ -50,6 +54,10 @@
             };
         };
         let Some(class) = self.classes.place(class) else { return error(404, "no such class") };
+        let call = header(&request.headers, "X-Call-Id").filter(|id| hex16(id).is_some());
+        if let ("DELETE", Some(call)) = (request.method.as_str(), call) {
+            return Intake::Withdraw(call.into(), response(200, &[], b"", false));
+        }
         if request.method != "POST" {
             return error(405, "statements are posted");
         }
@@ -160,7 +168,9 @@
     }
     fn refuse(&mut self, after: Micros, _words: Option<&str>, out: &mut Vec<u8>) {
         let ms = after.div_ceil(1000).to_string();
-        out.extend(response(429, &[("X-Come-Back-Ms", &ms)], br#"{"error":"Overloaded"}"#, false));
+        let advice = [("X-Come-Back-Ms", ms.as_str())];
+        let advice = &advice[..usize::from(after > 0)];
+        out.extend(response(429, advice, br#"{"error":"Overloaded"}"#, false));
     }
     fn fail(&mut self, _words: Option<&str>, out: &mut Vec<u8>) {
         out.extend(response(500, &[], br#"{"error":"Internal"}"#, false));
--- a/crates/node/src/net/link.rs
+++ b/crates/node/src/net/link.rs
@@ -1,5 +1,6 @@
 //! A TCP connection with an output buffer; reads and writes may come in any pieces.
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Write};
@@ -57,6 +58,15 @@
         }
     }
 
+    /// Whether the peer has ended its side, or all of the connection, behind bytes that are not read yet. A system that can't
+    /// tell says no: then it shows when those bytes are read.
+    pub fn peer_has_ended(&self) -> bool {
+        let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut fds = [PollFd::new(&*self.stream, over)];
+        let asked = poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+        asked.is_ok() && fds[0].revents().intersects(over)
+    }
+
     /// Reads up to `most` bytes onto `into`.
     pub fn read(&mut self, into: &mut Vec<u8>, most: usize) -> io::Result<ReadEnd> {
         // One buffer for all: a fresh one would be cleared for each read.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! What every connection here shares: buffered non-blocking bytes, the clock and names' numbers.
 
+pub mod eviction;
 mod link;
 
 pub use driftfront_roster::hash;
--- /dev/null
+++ b/crates/node/src/node/clients/closing.rs
@@ -0,0 +1,253 @@
+//! How a client's connection, and its wish for an answer, ends. What is owed at each of these moments stands in
+//! `docs/endings.md`.
+//!
+//! A close of ours is a lingering one: answers are flushed, our side is shut, and what still comes is read and dropped for a
+//! while. A close over unread bytes would reset the connection, and the answer before it would go with that.
+
+use super::{Client, IDLE_MOST, PART_OF_SOCKETS, PART_WHILE_SHARED, READ_MOST};
+use crate::net::{eviction, ReadEnd};
+use crate::node::{ConnId, Node};
+use crate::service::End;
+use driftfront_core::{Micros, RequestId};
+use driftfront_http::response;
+use fernlink::interface::Effect;
+
+/// After a close of ours the peer's last bytes are read for this long.
+const LINGER: Micros = 1_000_000;
+/// Bytes that are read and dropped with each sweep then: 60 MB at full speed must not take the processor.
+const LINGER_READ: usize = 128 * 1024;
+/// An answer that the client doesn't read for this long is given up.
+const WRITE_MOST: Micros = 10_000_000;
+/// A body that is passed on as it comes must not stand still for longer than this.
+const UPLOAD_STALL: Micros = 10_000_000;
+/// Connections that are looked at for one place, where what came last on each shows that it must stay.
+const EVICTIONS_TRIED: usize = 4;
+
+impl Client {
+    /// Nothing is open on it, or on its way, that a close in order would hurt. Whoever has just connected has a request
+    /// to write, and holds it back where its key's last one went out lately: that one has its usual time.
+    fn may_close(&self) -> bool {
+        self.is_at_rest() && !self.fresh
+    }
+
+    /// Nothing is open or half read on it, nothing waits to be written, and no close has begun.
+    fn is_at_rest(&self) -> bool {
+        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
+        !open && !self.reader.is_within()
+    }
+
+    /// Its place among those that go where descriptors are short; `None` if it must stay.
+    fn eviction(&self, now: Micros) -> Option<Micros> {
+        let open = self.current.is_some() || self.is_writing() || self.reader.is_within() && !self.fresh;
+        let idle = now.saturating_sub(self.used);
+        (self.shut || !open).then(|| eviction::rank(self.shut, self.fresh, idle))
+    }
+
+    /// Why its time is up, if it is.
+    fn expired(&self, now: Micros) -> Option<Expired> {
+        let idle = now.saturating_sub(self.used);
+        match () {
+            () if self.shut => (idle > LINGER).then_some(Expired::Closed),
+            () if self.is_writing() => (idle > WRITE_MOST).then_some(Expired::Stuck),
+            // A body that stands still while its engine waits for it.
+            () if self.reader.body_goes_on() => {
+                (self.reader.held() == 0 && idle > UPLOAD_STALL).then_some(Expired::Stuck)
+            }
+            () if self.current.is_some() || self.close => None,
+            () if self.reader.is_within() => (now > self.begun + READ_MOST).then_some(Expired::HalfRead),
+            () if self.fresh => (now > self.begun + READ_MOST).then_some(Expired::AtRest),
+            () => (idle > IDLE_MOST).then_some(Expired::AtRest),
+        }
+    }
+}
+
+/// What a connection was doing when its time was up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Expired {
+    /// Our side is shut, and the peer had its time to read and to close.
+    Closed,
+    /// The peer takes no bytes, or brings none that are waited for.
+    Stuck,
+    /// A request began and never became whole.
+    HalfRead,
+    /// Nothing was open.
+    AtRest,
+}
+
+impl Node {
+    /// Clients' connections that may be open.
+    pub(super) fn most_clients(&self) -> usize {
+        self.config.sockets * if self.shares { PART_WHILE_SHARED } else { PART_OF_SOCKETS } / 100
+    }
+
+    /// Makes room for a descriptor: the connection that can best be spared goes. What has come on it and was not read yet is
+    /// taken first: a request in it keeps its place.
+    pub(in crate::node) fn evict(&mut self, now: Micros) -> bool {
+        for _ in 0..EVICTIONS_TRIED {
+            let each = self.clients.iter().filter_map(|(&id, c)| Some((c.eviction(now)?, id)));
+            let Some((_, id)) = each.max() else { return false };
+            if self.clients.get(&id).is_some_and(|c| !c.shut) {
+                self.client_ready(now, id);
+            }
+            match self.clients.get(&id) {
+                // It went by itself.
+                None => return true,
+                Some(client) if client.eviction(now).is_none() => {}
+                Some(_) => {
+                    self.dropped += 1;
+                    self.tell_late(id);
+                    let _ = self.clients.get_mut(&id).map(|c| c.link.flush());
+                    self.drop_client(now, id);
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// What a client whose request never became whole may still read before the close.
+    fn tell_late(&mut self, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if !client.shut && client.reader.is_within() && client.current.is_none() {
+            client.link.push(&response(408, &[], b"", true));
+        }
+    }
+
+    /// The connection is gone, or goes at once: by its peer's end, its reset, or since there is no waiting for it. Nobody is
+    /// left to be answered on it; what is out of its request counts until it ends.
+    pub(in crate::node) fn drop_client(&mut self, now: Micros, id: ConnId) {
+        let Some(mut client) = self.clients.remove(&id) else { return };
+        self.unwatch(client.token.take());
+        self.front.release(client.kept);
+        if let Some((request, _)) = client.current.take() {
+            self.left(now, id, request);
+        }
+    }
+
+    /// The connection's open request is not wanted any more, or can't be.
+    pub(super) fn leave(&mut self, now: Micros, id: ConnId) {
+        if let Some((request, _)) = self.clients.get_mut(&id).and_then(|c| c.current.take()) {
+            self.left(now, id, request);
+        }
+    }
+
+    fn left(&mut self, now: Micros, id: ConnId, request: RequestId) {
+        tracing::debug!(request = request.0, conn = id, "client left");
+        self.count_end(now, request, End::Left);
+        self.asking.remove(&request);
+        let effect = self.core.taken(request).and_then(|t| self.effect(t.ask.class));
+        let fed = self.feeds.contains_key(&request);
+        self.core.left(now, request);
+        // A read is let go on its engine, and so is what waits there for a body that never comes.
+        if self.front.frees_reads() && effect == Some(Effect::Safe) || fed {
+            self.core.release(now, request);
+        }
+    }
+
+    /// A client takes its request back by a call on another connection: no answer is owed on its own one, which closes, as the
+    /// answer to a later request on it would be taken for this one's. True if it was open.
+    pub(super) fn withdraw(&mut self, now: Micros, call: &str) -> bool {
+        let asked = self.core.find(call).and_then(|r| self.asking.get(&r)).map(|a| a.0);
+        let Some(id) = asked else { return false };
+        self.leave(now, id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.close, client.answering) = (true, false);
+        }
+        self.client_work(now, id);
+        true
+    }
+
+    /// Reading waits, and so an end of the peer's behind the bytes that are not read yet brings no word of its own: it is
+    /// asked for. True if the client has left.
+    pub(super) fn has_hung_up(&mut self, now: Micros, id: ConnId) -> bool {
+        let Some(client) = self.clients.get(&id) else { return false };
+        let gone = client.more && !client.shut && client.link.peer_has_ended();
+        if gone {
+            self.drop_client(now, id);
+        }
+        gone
+    }
+
+    /// Reads what stands behind more than is held, and drops it: unread, it would hide that the client leaves. The requests that
+    /// were held behind the open one go with it, as their connection closes behind the answer. One read at a time; the sweep
+    /// goes on with it.
+    pub(super) fn read_away(&mut self, now: Micros, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        self.overruns += u64::from(!std::mem::replace(&mut client.overrun, true));
+        match client.link.read(&mut Vec::new(), LINGER_READ) {
+            Ok(ReadEnd::Enough) => {}
+            Ok(ReadEnd::Dry) => client.more = false,
+            Ok(ReadEnd::Closed) | Err(_) => self.drop_client(now, id),
+        }
+    }
+
+    /// The client has ended its side: what it asked is not wanted any more, and what stands unread behind it neither. What is
+    /// malformed is told.
+    pub(super) fn client_ended(&mut self, now: Micros, id: ConnId) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.gone = true;
+        while self.next_request(now, id) {}
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.current.is_none() && !client.shut && !client.close && client.reader.is_within() {
+            // It may still read why its half request is not answered.
+            client.link.push(&response(400, &[], b"", true));
+        }
+        let _ = client.link.flush();
+        self.drop_client(now, id);
+    }
+
+    /// Ends what has had its time, and reads closing connections out.
+    pub(in crate::node) fn sweep_clients(&mut self, now: Micros) {
+        // Who has connected and not spoken by then would speak to nobody.
+        let leaves = !self.life.takes(now);
+        for id in self.clients.keys().copied().collect::<Vec<_>>() {
+            let Some(client) = self.clients.get_mut(&id) else { continue };
+            match client.expired(now) {
+                Some(Expired::Closed | Expired::Stuck) => self.drop_client(now, id),
+                Some(Expired::HalfRead) => self.end_half_read(now, id),
+                Some(Expired::AtRest) => drop(self.close_at_rest(now, id)),
+                None if (client.may_close() || leaves && client.is_at_rest())
+                    && !self.life.keeps(now, now.saturating_sub(client.used)) =>
+                {
+                    self.sent_away += u64::from(self.close_at_rest(now, id));
+                }
+                None if client.shut => {
+                    let end = client.link.read(&mut Vec::new(), LINGER_READ);
+                    if !matches!(end, Ok(ReadEnd::Dry | ReadEnd::Enough)) {
+                        self.drop_client(now, id);
+                    }
+                }
+                None if client.overrun && client.current.is_some() => self.client_work(now, id),
+                None if client.pause_until > 0 && now >= client.pause_until => {
+                    client.pause_until = 0;
+                    self.client_work(now, id);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Closes a connection at rest in order. What has come already is taken first; a request that crosses the close is sent
+    /// once more by its client, elsewhere. True if the close has begun.
+    fn close_at_rest(&mut self, now: Micros, id: ConnId) -> bool {
+        self.client_ready(now, id);
+        let Some(client) = self.clients.get_mut(&id).filter(|c| c.is_at_rest()) else { return false };
+        (client.close, client.used) = (true, now);
+        self.client_work(now, id);
+        true
+    }
+
+    /// Closes a connection in order whose request never became whole, unless its last bytes have just come.
+    fn end_half_read(&mut self, now: Micros, id: ConnId) {
+        self.client_ready(now, id);
+        let half = |c: &&mut Client| c.expired(now) == Some(Expired::HalfRead);
+        if self.clients.get_mut(&id).filter(half).is_none() {
+            return;
+        }
+        self.tell_late(id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.close, client.used) = (true, now);
+        }
+        self.client_work(now, id);
+    }
+}
--- a/crates/node/src/node/clients.rs
+++ b/crates/node/src/node/clients/mod.rs
@@ -1,12 +1,15 @@
-//! Clients' connections: reading requests, writing answers, and ends of every kind.
+//! Clients' connections: reading and writing. What is read of them becomes requests in `requests.rs`; how they end stands in
+//! `closing.rs`.
+
+mod closing;
+mod requests;
 
 use super::{ConnId, Node, Source};
-use crate::fronts::{After, AnswerWriter, Intake, KillAsk};
+use crate::fronts::{After, AnswerWriter};
 use crate::net::{out_of_descriptors, Link, ReadEnd};
 use calloop::RegistrationToken;
-use driftfront_core::{Micros, Phase, RequestId};
-use driftfront_http::{response, tell_close, Fault, RequestReader};
-use fernlink::interface::Effect;
+use driftfront_core::{Micros, RequestId};
+use driftfront_http::{tell_close, Fault, RequestReader};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener};
@@ -27,22 +30,11 @@
 /// The same while another process of this coordinator runs. Usual clients hold a third with both together, and must all
 /// find room here: one that waits in the backlog while others are read loses its place in its key's order.
 const PART_WHILE_SHARED: usize = 40;
-/// A connection that never brought a whole request counts as idle for this many times as long.
-const FRESH_WEIGHT: Micros = 8;
 /// Steps on one connection before the others have their turn.
 const TURN: usize = 16;
-/// After a close of ours the peer's last bytes are read for this long: unread ones would reset the
-/// connection and take our answer with them.
-const LINGER: Micros = 1_000_000;
-/// Bytes that are read and dropped with each sweep then: 60 MB at full speed must not take the processor.
-const LINGER_READ: usize = 128 * 1024;
-/// An answer that the client doesn't read for this long is given up.
-const WRITE_MOST: Micros = 10_000_000;
 /// Bytes read ahead while a request is open.
 const AHEAD_MOST: usize = 64 * 1024;
 const READ_AT_ONCE: usize = 64 * 1024;
-/// A body that is passed on as it comes must not stand still for longer than this.
-const UPLOAD_STALL: Micros = 10_000_000;
 
 /// What there is of a body that is passed on as it comes.
 pub(super) enum Body {
@@ -71,6 +63,10 @@
     kept: usize,
     /// Our side is shut; what still comes is dropped.
     shut: bool,
+    /// The peer has ended its side: no request that is still read is wanted any more.
+    gone: bool,
+    /// More was sent behind the open request than is held: what comes is dropped, and the connection closes behind the answer.
+    overrun: bool,
     /// Reading stopped with more to come.
     more: bool,
     continued: bool,
@@ -89,30 +85,6 @@
     pub(super) fn is_writing(&self) -> bool {
         self.link.backlog() > 0
     }
-
-    /// Nothing is open on it, or on its way, that a close in order would hurt. Whoever has just connected has a request
-    /// to write, and holds it back where its key's last one went out lately: that one has its usual time.
-    fn may_close(&self) -> bool {
-        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
-        !open && !self.fresh && !self.reader.is_within()
-    }
-
-    /// How ripe a connection is for an end where descriptors are short; `None` if it must stay.
-    fn ripe(&self, now: Micros) -> Option<Micros> {
-        let open = self.current.is_some() || self.is_writing() || self.reader.is_within() && !self.fresh;
-        (self.shut || !open).then(|| ripeness(self.shut, self.fresh, now.saturating_sub(self.used)))
-    }
-}
-
-/// Those that are closing go first, then the longest idle. One that never brought a whole request counts as
-/// idle for longer, but is not always first: else those that asked once and stay would fill all places,
-/// and each newcomer would be shut out by the next before it has said a word.
-fn ripeness(shut: bool, fresh: bool, idle: Micros) -> Micros {
-    match (shut, fresh) {
-        (true, _) => Micros::MAX,
-        (false, true) => idle.saturating_mul(FRESH_WEIGHT),
-        (false, false) => idle,
-    }
 }
 
 /// Listens with room for a burst of connects.
@@ -130,7 +102,7 @@
     pub(super) fn accept(&mut self, now: Micros) {
         let most = self.most_clients();
         while self.life.accepts() {
-            if self.clients.len() >= most && !self.drop_ripest(now) {
+            if self.clients.len() >= most && !self.evict(now) {
                 // Counted with each look, whether somebody waits or not.
                 self.accepts_full += 1;
                 return;
@@ -138,20 +110,26 @@
             if self.passed && !self.unblock_listener() {
                 return;
             }
-            let stream = match self.listener.accept() {
+            let Some(listener) = &self.listener else { return };
+            let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 // The connection stays in the backlog until there is room.
                 Err(e) if out_of_descriptors(&e) => {
                     tracing::warn!("out of descriptors");
-                    if self.drop_ripest(now) {
+                    if self.evict(now) {
                         continue;
                     }
                     return;
                 }
+                // A connection that ended in the backlog: the next may be well.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {
+                    continue
+                }
+                // What else the system says it would say again at once; the next sweep asks anew.
                 Err(e) => {
-                    tracing::debug!("accept: {e}");
-                    continue;
+                    tracing::warn!("accept: {e}");
+                    return;
                 }
             };
             if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
@@ -170,6 +148,8 @@
                         close: false,
                         answering: false,
                         shut: false,
+                        gone: false,
+                        overrun: false,
                         more: true,
                         continued: false,
                         busy: false,
@@ -190,16 +170,12 @@
     /// Whoever else holds a passed socket may have let it block again, and the loop would stand still in `accept`. That
     /// is shared by all holders, so it is looked at before each call.
     fn unblock_listener(&mut self) -> bool {
-        if socket2::SockRef::from(&*self.listener).nonblocking().is_ok_and(|n| n) {
+        let Some(listener) = &self.listener else { return false };
+        if socket2::SockRef::from(&**listener).nonblocking().is_ok_and(|n| n) {
             return true;
         }
         self.unblocked += 1;
-        self.listener.set_nonblocking(true).is_ok()
-    }
-
-    /// Clients' connections that may be open.
-    fn most_clients(&self) -> usize {
-        self.config.sockets * if self.shares { PART_WHILE_SHARED } else { PART_OF_SOCKETS } / 100
+        listener.set_nonblocking(true).is_ok()
     }
 
     /// Bytes that wait for a request's client to read them.
@@ -208,56 +184,6 @@
         client.map_or(0, |c| c.link.backlog())
     }
 
-    /// Makes room for a connection: the ripest one goes.
-    pub(super) fn drop_ripest(&mut self, now: Micros) -> bool {
-        let each = self.clients.iter().filter_map(|(&id, c)| Some((c.ripe(now)?, id)));
-        let ripest = each.max().map(|(_, id)| id);
-        if let Some(id) = ripest {
-            self.dropped += 1;
-            self.tell_late(id);
-            self.drop_client(now, id);
-        }
-        ripest.is_some()
-    }
-
-    /// What a client whose request never became whole may still read before the close.
-    fn tell_late(&mut self, id: ConnId) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        if !client.shut && client.reader.is_within() && client.current.is_none() {
-            client.link.push(&response(408, &[], b"", true));
-            let _ = client.link.flush();
-        }
-    }
-
-    pub(super) fn drop_client(&mut self, now: Micros, id: ConnId) {
-        let Some(mut client) = self.clients.remove(&id) else { return };
-        self.unwatch(client.token.take());
-        self.front.release(client.kept);
-        if let Some((request, _)) = client.current.take() {
-            self.left(now, id, request);
-        }
-    }
-
-    /// The connection's open request is not wanted any more, or can't be.
-    fn leave(&mut self, now: Micros, id: ConnId) {
-        if let Some((request, _)) = self.clients.get_mut(&id).and_then(|c| c.current.take()) {
-            self.left(now, id, request);
-        }
-    }
-
-    fn left(&mut self, now: Micros, id: ConnId, request: RequestId) {
-        tracing::debug!(request = request.0, conn = id, "client left");
-        self.count_end(now, request, crate::service::End::Left);
-        self.asking.remove(&request);
-        let effect = self.core.taken(request).and_then(|t| self.effect(t.ask.class));
-        let fed = self.feeds.contains_key(&request);
-        self.core.left(now, request);
-        // A read is let go on its engine, and so is what waits there for a body that never comes.
-        if self.front.frees_reads() && effect == Some(Effect::Safe) || fed {
-            self.core.release(now, request);
-        }
-    }
-
     pub(super) fn client_ready(&mut self, now: Micros, id: ConnId) {
         if let Some(client) = self.clients.get_mut(&id) {
             client.more = true;
@@ -348,7 +274,12 @@
             }
             let Some(client) = self.clients.get_mut(&id) else { return };
             let ahead = client.current.is_some() || now < client.pause_until;
-            if !client.more || client.shut || ahead && client.reader.held() > AHEAD_MOST {
+            let full = ahead && client.reader.held() > AHEAD_MOST;
+            if client.more && !client.shut && full && client.current.is_some() && self.front.asks_in_turn() {
+                return self.read_away(now, id);
+            }
+            if !client.more || client.shut || full {
+                self.has_hung_up(now, id);
                 return;
             }
             let mut bytes = Vec::new();
@@ -371,8 +302,6 @@
                 continue;
             }
             if end == ReadEnd::Closed {
-                // What came whole before that is not wanted any more, but what is malformed is told.
-                while self.next_request(now, id) {}
                 return self.client_ended(now, id);
             }
         }
@@ -399,123 +328,8 @@
         true
     }
 
-    /// The client has ended its side: what it asked is not wanted any more.
-    fn client_ended(&mut self, now: Micros, id: ConnId) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.current.is_none() && !client.shut && client.reader.is_within() {
-            // It may still read why its half request is not answered.
-            client.link.push(&response(400, &[], b"", true));
-            let _ = client.link.flush();
-        }
-        self.drop_client(now, id);
-    }
-
-    /// Takes the next request off the reader, if none is open; true if one was there.
-    fn next_request(&mut self, now: Micros, id: ConnId) -> bool {
-        let Some(client) = self.clients.get_mut(&id) else { return false };
-        let idle = client.reader.held() == 0 || now < client.pause_until;
-        if client.current.is_some() || client.close || idle {
-            return false;
-        }
-        let request = match client.reader.next_request() {
-            Ok(Some(request)) => request,
-            Ok(None) => {
-                if client.reader.expects_continue() && !client.continued {
-                    client.continued = true;
-                    client.link.push(b"HTTP/1.1 100 Continue\r\n\r\n");
-                    let _ = client.link.flush();
-                }
-                return false;
-            }
-            Err(fault) => {
-                self.client_fault(now, id, fault);
-                return true;
-            }
-        };
-        client.continued = false;
-        client.close = request.close;
-        (client.used, client.begun, client.fresh) = (now, now, false);
-        let (kept, goes_on) = (std::mem::take(&mut client.kept), request.goes_on);
-        let intake = self.front.intake(request, now, kept);
-        // Where it is not taken the rest of its body would be read as the next request.
-        client.close |= goes_on && !matches!(intake, Intake::Take(..));
-        match intake {
-            Intake::Reply(bytes) => self.reply(id, &bytes),
-            Intake::Bad(bytes) => {
-                client.pause_until = now + BAD_PAUSE;
-                self.reply(id, &bytes);
-            }
-            Intake::Ready(yes, no) => {
-                let ready = self.is_ready();
-                self.reply(id, if ready { &yes } else { &no });
-            }
-            Intake::Kill(kill) => self.kill(now, id, *kill),
-            Intake::Counters => {
-                let text = self.counters();
-                let head = [("Content-Type", "text/plain; charset=utf-8")];
-                self.reply(id, &response(200, &head, text.as_bytes(), false));
-            }
-            Intake::Take(ask, writer) => {
-                let twin = if self.core.is_open(&ask.call) { self.front.twin(now, &ask) } else { None };
-                if let Some(bytes) = twin {
-                    if let Some(client) = self.clients.get_mut(&id) {
-                        client.close |= goes_on;
-                    }
-                    self.reply(id, &bytes);
-                    return true;
-                }
-                let (call, class, budget) = (ask.call.clone(), ask.class, ask.budget);
-                let request = self.core.take(now, ask);
-                tracing::debug!(request = request.0, conn = id, %call, class, budget, "taken");
-                self.asking.insert(request, (id, class, now));
-                if let Some(client) = self.clients.get_mut(&id) {
-                    client.current = Some((request, writer));
-                }
-                self.carry_out();
-            }
-        }
-        true
-    }
-
-    /// Ends queries by their names: none gets a further attempt, and each engine that runs one, or may, is told.
-    fn kill(&mut self, now: Micros, id: ConnId, kill: KillAsk) {
-        let mut runs = Vec::new();
-        let mut known = false;
-        for name in &kill.names {
-            runs.extend(self.core.runs(now, name));
-            known |= self.core.is_open(name);
-        }
-        // The one whose answer is awaited speaks for the others.
-        runs.sort_by_key(|run| !run.awaited);
-        let mut sent = Vec::new();
-        for run in &runs {
-            if self.core.phase(run.engine) != Some(Phase::Ready) {
-                continue;
-            }
-            let request = self.core.take(now, (kill.for_engine)(run.engine, &run.name));
-            tracing::debug!(request = request.0, conn = id, engine = run.engine.0, "a kill, taken");
-            sent.push(request);
-        }
-        if !kill.test {
-            for name in &kill.names {
-                self.core.call_off(now, name, &kill.words);
-            }
-        }
-        tracing::info!(names = kill.names.len(), known, engines = sent.len(), "queries are to be ended");
-        match sent.first() {
-            None => self.reply(id, &kill.none),
-            Some(&first) => {
-                self.asking.insert(first, (id, self.core.taken(first).map_or(0, |t| t.ask.class), now));
-                if let Some(client) = self.clients.get_mut(&id) {
-                    client.current = Some((first, kill.writer));
-                }
-            }
-        }
-        self.carry_out();
-    }
-
-    fn reply(&mut self, id: ConnId, bytes: &[u8]) {
-        let away = self.life.sends_away();
+    fn reply(&mut self, now: Micros, id: ConnId, bytes: &[u8]) {
+        let away = self.life.sends_away(now);
         if let Some(client) = self.clients.get_mut(&id) {
             let mut bytes = bytes.to_vec();
             if away {
@@ -551,7 +365,8 @@
         let mut bytes = Vec::new();
         let after = write(writer.as_mut(), &mut bytes);
         let first = !bytes.is_empty() && !std::mem::replace(&mut client.answering, true);
-        if self.life.sends_away() && first {
+        let away = self.life.sends_away(now) || client.overrun;
+        if away && first {
             tell_close(&mut bytes);
         }
         client.link.push(&bytes);
@@ -560,7 +375,7 @@
             tracing::debug!(request = request.0, conn = id, bytes = bytes.len(), "answered");
             client.current = None;
             client.answering = false;
-            client.close |= self.life.sends_away();
+            client.close |= away;
             self.asking.remove(&request);
             // What of a body still comes could not be told from the next request.
             client.close |= after != After::Open || client.reader.body_goes_on();
@@ -576,87 +391,4 @@
         }
         self.client_work(now, id);
     }
-
-    pub(super) fn sweep_clients(&mut self, now: Micros) {
-        let late = |c: &Client| {
-            let idle = now.saturating_sub(c.used);
-            match () {
-                () if c.shut => idle > LINGER,
-                () if c.is_writing() => idle > WRITE_MOST,
-                // A body that stands still while its engine waits for it.
-                () if c.reader.body_goes_on() => c.reader.held() == 0 && idle > UPLOAD_STALL,
-                () if c.current.is_some() => false,
-                () if c.fresh || c.reader.is_within() => now > c.begun + READ_MOST,
-                () => idle > IDLE_MOST,
-            }
-        };
-        for id in self.clients.keys().copied().collect::<Vec<_>>() {
-            let Some(client) = self.clients.get_mut(&id) else { continue };
-            if late(client) {
-                self.tell_late(id);
-                self.drop_client(now, id);
-            } else if client.may_close() && !self.life.keeps(now, now.saturating_sub(client.used)) {
-                self.send_away(now, id);
-            } else if client.shut {
-                let end = client.link.read(&mut Vec::new(), LINGER_READ);
-                if !matches!(end, Ok(ReadEnd::Dry | ReadEnd::Enough)) {
-                    self.drop_client(now, id);
-                }
-            } else if client.pause_until > 0 && now >= client.pause_until {
-                client.pause_until = 0;
-                self.client_work(now, id);
-            }
-        }
-    }
-
-    /// Closes an idle connection in order: a request that crosses that is sent once more, elsewhere. What has come
-    /// already is taken first.
-    fn send_away(&mut self, now: Micros, id: ConnId) {
-        self.client_ready(now, id);
-        let Some(client) = self.clients.get_mut(&id).filter(|c| c.may_close()) else { return };
-        client.close = true;
-        self.sent_away += 1;
-        self.client_work(now, id);
-    }
-
-    pub(super) fn counters(&self) -> String {
-        let connections = format!(
-            "connections_clients {}\nconnections_engines {}\n",
-            self.clients.len(),
-            self.engines.len()
-        );
-        let bodies = format!("bodies_passing {}\nresults_paused {}\n", self.feeds.len(), self.paused);
-        let (core, front) = (self.core.counters(), self.front.counters());
-        let control = self.control.as_ref().map(|c| c.counters()).unwrap_or_default();
-        let bans = self.roster.orders().len();
-        let state = self.life.state().word().replace(' ', "_");
-        let life = format!("state{{is=\"{state}\"}} 1\nengines_out_by_order {bans}\n");
-        let away = format!(
-            "connections_sent_away {}\naccepts_full {}\nclients_dropped {}\n",
-            self.sent_away, self.accepts_full, self.dropped
-        );
-        let management = self.management.counters();
-        let succeeds = u8::from(self.life.succeeds());
-        let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
-        let upgrade = format!("{upgrade}listener_unblocked {}\n", self.unblocked);
-        let open = self.core.open();
-        let fleet = self.fleet_counters();
-        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}{fleet}")
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::ripeness;
-
-    #[test]
-    fn a_newcomer_has_time_to_speak_while_others_idle() {
-        let (shut, asked, fresh) = (
-            |idle| ripeness(true, false, idle),
-            |idle| ripeness(false, false, idle),
-            |idle| ripeness(false, true, idle),
-        );
-        assert!(shut(0) > fresh(9_000_000) && fresh(500_000) > asked(3_000_000));
-        assert!(asked(2_000_000) > fresh(100_000));
-    }
 }
--- /dev/null
+++ b/crates/node/src/node/clients/requests.rs
@@ -0,0 +1,130 @@
+//! Requests as they are read off a client's connection: taken in, answered at once, or withdrawn.
+
+use super::BAD_PAUSE;
+use crate::fronts::{Intake, KillAsk};
+use crate::node::{ConnId, Node};
+use driftfront_core::{Micros, Phase};
+use driftfront_http::response;
+
+impl Node {
+    /// Takes the next request off the reader, if none is open; true if one was there.
+    pub(super) fn next_request(&mut self, now: Micros, id: ConnId) -> bool {
+        let Some(client) = self.clients.get_mut(&id) else { return false };
+        let idle = client.reader.held() == 0 || now < client.pause_until;
+        if client.current.is_some() || client.close || idle {
+            return false;
+        }
+        let request = match client.reader.next_request() {
+            Ok(Some(request)) => request,
+            Ok(None) => {
+                if client.reader.expects_continue() && !client.continued {
+                    client.continued = true;
+                    client.link.push(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    let _ = client.link.flush();
+                }
+                return false;
+            }
+            Err(fault) => {
+                self.client_fault(now, id, fault);
+                return true;
+            }
+        };
+        // Behind unread bytes an end of the client's would come to light only once it is served.
+        let gone = client.gone || client.more && client.link.peer_has_ended();
+        client.continued = false;
+        client.close = request.close;
+        (client.used, client.begun, client.fresh) = (now, now, false);
+        let (kept, goes_on) = (std::mem::take(&mut client.kept), request.goes_on);
+        let intake = self.front.intake(request, now, kept);
+        // Where it is not taken the rest of its body would be read as the next request.
+        client.close |= goes_on && !matches!(intake, Intake::Take(..));
+        match intake {
+            Intake::Reply(bytes) => self.reply(now, id, &bytes),
+            Intake::Bad(bytes) => {
+                client.pause_until = now + BAD_PAUSE;
+                self.reply(now, id, &bytes);
+            }
+            Intake::Ready(yes, no) => {
+                let ready = self.is_ready();
+                self.reply(now, id, if ready { &yes } else { &no });
+            }
+            Intake::Kill(kill) => self.kill(now, id, *kill),
+            Intake::Withdraw(call, bytes) => {
+                let known = self.withdraw(now, &call);
+                tracing::debug!(conn = id, %call, known, "withdrawn");
+                self.reply(now, id, &bytes);
+            }
+            Intake::Counters => {
+                let text = self.counters();
+                let head = [("Content-Type", "text/plain; charset=utf-8")];
+                self.reply(now, id, &response(200, &head, text.as_bytes(), false));
+            }
+            Intake::Take(ask, writer) => {
+                let twin = if self.core.is_open(&ask.call) { self.front.twin(now, &ask) } else { None };
+                if let Some(bytes) = twin {
+                    if let Some(client) = self.clients.get_mut(&id) {
+                        client.close |= goes_on;
+                    }
+                    self.reply(now, id, &bytes);
+                    return true;
+                }
+                if gone {
+                    // It left before it was read: a waiting place is all that it had.
+                    tracing::debug!(conn = id, call = %ask.call, "client left before its request was read");
+                    self.core.take_left(now, ask);
+                    self.carry_out();
+                    return true;
+                }
+                if !self.life.takes(now) {
+                    self.core.leave();
+                }
+                let (call, class, budget) = (ask.call.clone(), ask.class, ask.budget);
+                let request = self.core.take(now, ask);
+                tracing::debug!(request = request.0, conn = id, %call, class, budget, "taken");
+                self.asking.insert(request, (id, class, now));
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.current = Some((request, writer));
+                }
+                self.carry_out();
+            }
+        }
+        true
+    }
+
+    /// Ends queries by their names: none gets a further attempt, and each engine that runs one, or may, is told.
+    fn kill(&mut self, now: Micros, id: ConnId, kill: KillAsk) {
+        let mut runs = Vec::new();
+        let mut known = false;
+        for name in &kill.names {
+            runs.extend(self.core.runs(now, name));
+            known |= self.core.is_open(name);
+        }
+        // The one whose answer is awaited speaks for the others.
+        runs.sort_by_key(|run| !run.awaited);
+        let mut sent = Vec::new();
+        for run in &runs {
+            if self.core.phase(run.engine) != Some(Phase::Ready) {
+                continue;
+            }
+            let request = self.core.take(now, (kill.for_engine)(run.engine, &run.name));
+            tracing::debug!(request = request.0, conn = id, engine = run.engine.0, "a kill, taken");
+            sent.push(request);
+        }
+        if !kill.test {
+            for name in &kill.names {
+                self.core.call_off(now, name, &kill.words);
+            }
+        }
+        tracing::info!(names = kill.names.len(), known, engines = sent.len(), "queries are to be ended");
+        match sent.first() {
+            None => self.reply(now, id, &kill.none),
+            Some(&first) => {
+                self.asking.insert(first, (id, self.core.taken(first).map_or(0, |t| t.ask.class), now));
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.current = Some((first, kill.writer));
+                }
+            }
+        }
+        self.carry_out();
+    }
+}
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -812,7 +812,7 @@
             name: self.config.name.clone(),
             at: now,
             up_s: seconds(control.map_or(now, |c| c.begun)),
-            listen: self.listener.local_addr().map_or(self.config.listen, |a| a).to_string(),
+            listen: self.listening_at().to_string(),
             front: format!("{:?}", self.config.wire),
             ready: self.is_ready(),
             stopping: self.life.state() == State::Ending,
--- /dev/null
+++ b/crates/node/src/node/counters.rs
@@ -0,0 +1,30 @@
+//! What `/counters` tells, and the log at the end.
+
+use super::Node;
+
+impl Node {
+    pub(super) fn counters(&self) -> String {
+        let connections = format!(
+            "connections_clients {}\nconnections_engines {}\n",
+            self.clients.len(),
+            self.engines.len()
+        );
+        let bodies = format!("bodies_passing {}\nresults_paused {}\n", self.feeds.len(), self.paused);
+        let (core, front) = (self.core.counters(), self.front.counters());
+        let control = self.control.as_ref().map(|c| c.counters()).unwrap_or_default();
+        let bans = self.roster.orders().len();
+        let state = self.life.state().word().replace(' ', "_");
+        let life = format!("state{{is=\"{state}\"}} 1\nengines_out_by_order {bans}\n");
+        let away = format!(
+            "connections_sent_away {}\naccepts_full {}\nclients_dropped {}\nclients_overrun {}\n",
+            self.sent_away, self.accepts_full, self.dropped, self.overruns
+        );
+        let management = self.management.counters();
+        let succeeds = u8::from(self.life.succeeds());
+        let upgrade = format!("upgrade_succeeds {succeeds}\nupgrade_orders_merged {}\n", self.merged);
+        let upgrade = format!("{upgrade}listener_unblocked {}\n", self.unblocked);
+        let open = self.core.open();
+        let fleet = self.fleet_counters();
+        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}{fleet}")
+    }
+}
--- a/crates/node/src/node/engines.rs
+++ b/crates/node/src/node/engines.rs
@@ -175,7 +175,7 @@
         }
         let stream = match connect(addr) {
             // Out of descriptors: an idle client's is worth less.
-            Err(e) if out_of_descriptors(&e) && self.drop_ripest(now) => connect(addr),
+            Err(e) if out_of_descriptors(&e) && self.evict(now) => connect(addr),
             other => other,
         };
         let stream = stream.map_err(|e| {
@@ -314,7 +314,11 @@
                 }
             }
             match flushed {
-                Err(e) => return self.lose_engine(now, id, &e.to_string()),
+                // What it said before its end is here still: an answer that came must not go with the connection.
+                Err(e) => {
+                    self.read_to_the_end(now, id);
+                    return self.lose_engine(now, id, &e.to_string());
+                }
                 Ok(false) => return,
                 Ok(true) => {}
             }
@@ -502,6 +506,20 @@
         }
     }
 
+    /// Takes what has come on a connection that nothing can be written to any more.
+    fn read_to_the_end(&mut self, now: Micros, id: ConnId) {
+        for _ in 0..TURN {
+            let Some(conn) = self.engines.get_mut(&id).filter(|c| !c.paused) else { return };
+            let (mut bytes, mut seen) = (Vec::new(), Vec::new());
+            let end = conn.link.read(&mut bytes, READ_AT_ONCE);
+            let fed = conn.session.feed(now, &bytes, &mut Vec::new(), &mut seen);
+            self.take_seen(now, seen);
+            if fed.is_err() || !matches!(end, Ok(ReadEnd::Enough)) {
+                return;
+            }
+        }
+    }
+
     fn tend_engine(&mut self, now: Micros, id: ConnId) {
         let Some(conn) = self.engines.get_mut(&id) else { return };
         let (mut out, mut seen) = (Vec::new(), Vec::new());
--- a/crates/node/src/node/management.rs
+++ b/crates/node/src/node/management.rs
@@ -97,7 +97,7 @@
             let Some(listener) = &self.management.listener else { return };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
-                Err(e) if out_of_descriptors(&e) && self.drop_ripest(now) => continue,
+                Err(e) if out_of_descriptors(&e) && self.evict(now) => continue,
                 Err(_) => return,
             };
             if stream.set_nonblocking(true).is_err() {
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod control;
+mod counters;
 mod engines;
 mod feed;
 mod fleet;
@@ -47,7 +48,9 @@
     now: Micros,
     last_conn: ConnId,
     front: Box<dyn Front>,
-    listener: Rc<TcpListener>,
+    /// `None` once the process leaves for good.
+    listener: Option<Rc<TcpListener>>,
+    listening: Option<RegistrationToken>,
     /// It was passed: others hold it, too.
     passed: bool,
     clients: BTreeMap<ConnId, clients::Client>,
@@ -90,6 +93,8 @@
     /// Looks at the backlog while there was no room for another client, and clients dropped to make room.
     accepts_full: u64,
     dropped: u64,
+    /// Clients' connections on which more was sent ahead than is held.
+    overruns: u64,
 }
 
 /// What a readiness event is for.
@@ -117,13 +122,16 @@
         };
         let now = unix_now();
         let longest = config.classes.patience.iter().copied().max().unwrap_or(0);
+        // An operator's service manager has rules of its own.
+        let killed = config.wire == Wire::Platform;
         let mut node = Node {
             core: Core::new(config.settings.clone(), config.limits, config.seed),
             handle: events.handle(),
             now,
             last_conn: 0,
             front,
-            listener: Rc::new(listener),
+            listener: Some(Rc::new(listener)),
+            listening: None,
             passed,
             clients: BTreeMap::new(),
             asking: BTreeMap::new(),
@@ -140,7 +148,7 @@
             next_sweep: now,
             later: Vec::new(),
             carrying: false,
-            life: Lifecycle::new(false, false, longest),
+            life: Lifecycle::new(false, false, longest, killed),
             management: management::Management::default(),
             started: now,
             post,
@@ -150,6 +158,7 @@
             sent_away: 0,
             accepts_full: 0,
             dropped: 0,
+            overruns: 0,
             config,
         };
         // Before any thread is started: a signal goes to whichever thread does not block it, and would end the program there.
@@ -168,19 +177,21 @@
         // Orders come before the list: nothing may go to what an earlier process was told to leave alone.
         node.tend_post(now);
         let succeeds = node.post.as_ref().is_some_and(Post::has_predecessor);
-        node.life = Lifecycle::new(succeeds, passed, longest);
+        node.life = Lifecycle::new(succeeds, passed, longest, killed);
         node.open_control()?;
         node.take_known();
         node.open_management();
         node.open_fleet()?;
-        let socket = node.listener.clone();
-        node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
+        if let Some(socket) = node.listener.clone() {
+            let token = node.watch(socket, Source::Listener).map_err(|e| format!("event loop: {e}"))?;
+            node.listening = Some(token);
+        }
         Ok(node)
     }
 
     /// Runs until a signal has asked for the end and all that was taken is answered.
     pub fn run(mut self, mut events: EventLoop<'static, Node>) -> Result<(), String> {
-        let listen = self.listener.local_addr().map_or(self.config.listen, |a| a);
+        let listen = self.listening_at();
         let management = self.management.addr().map(tracing::field::display);
         tracing::info!(name = %self.config.name, management, %listen, "serving");
         loop {
@@ -302,9 +313,15 @@
         }
     }
 
-    fn may_end(&self) -> bool {
+    fn may_end(&mut self) -> bool {
         let writing = self.clients.values().any(|c| c.is_writing());
-        self.life.may_end(self.now, self.core.open(), self.clients.len(), writing)
+        let ends = self.life.may_end(self.now, self.core.open(), self.clients.len(), writing);
+        if ends && self.listener.is_some() && !self.life.listens(self.now) {
+            // Who is in the backlog still has a connection, and maybe a request on it: looked at once more behind that.
+            self.stop_listening(self.now);
+            return false;
+        }
+        ends
     }
 
     /// What `/alive` and STATUS both say.
@@ -344,6 +361,12 @@
         if self.life.last_word().is_some_and(|at| now >= at) {
             self.core.answer_all(now);
         }
+        if self.life.last_refusals().is_some_and(|at| now >= at) {
+            self.core.answer_waiting(now);
+        }
+        if !self.life.listens(now) {
+            self.stop_listening(now);
+        }
         if self.life.look(self.clients.len()) {
             self.told(now, "Drained: no client is left".into());
         }
@@ -474,6 +497,20 @@
         }
     }
 
+    /// The address that clients use.
+    fn listening_at(&self) -> SocketAddr {
+        self.listener.as_ref().and_then(|l| l.local_addr().ok()).unwrap_or(self.config.listen)
+    }
+
+    /// Closes the listening socket. What the system has accepted already is taken first: each gets an answer, or its close.
+    fn stop_listening(&mut self, now: Micros) {
+        self.accept(now);
+        self.carry_out();
+        let token = self.listening.take();
+        self.unwatch(token);
+        self.listener = None;
+    }
+
     /// Registers a socket, or says why not.
     fn register(&mut self, socket: Rc<TcpStream>, source: Source) -> Result<RegistrationToken, String> {
         self.watch(socket, source).map_err(|e| e.to_string())
--- a/crates/node/tests/common/lines.rs
+++ b/crates/node/tests/common/lines.rs
@@ -38,6 +38,16 @@
                 if is("silent") || is("mute") && first {
                     continue;
                 }
+                if is("half") && first {
+                    // Half a line, or an answer that never ends, and then nothing on a connection that stays.
+                    let begun = if is("endless") {
+                        format!("{id} HIT fetches=1 6000\r\n1\ta\tb\n")
+                    } else {
+                        format!("{id} HI")
+                    };
+                    let _ = out.write_all(begun.as_bytes());
+                    continue;
+                }
                 ledger.end(entry, !is("full"));
                 if is("full") && first {
                     format!("{id} SHED - 0\r\n\r\n")
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -129,6 +129,22 @@
         self.child.wait().expect("it ended");
     }
 
+    /// It stands still until [`Coordinator::wake`]: what happens meanwhile it finds all at once.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        // The signal is sent, not yet taken: the state says when.
+        let begin = std::time::Instant::now();
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).expect("its state").contains(") T ") {
+            assert!(begin.elapsed() < FOR_EVER, "it never stood still");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn wake(&self) {
+        self.signal("-CONT");
+    }
+
     fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().expect("kill");
         assert!(status.success());
--- a/crates/node/tests/operators.rs
+++ b/crates/node/tests/operators.rs
@@ -357,7 +357,8 @@
     let key = path("key");
     std::fs::write(&key, "a key of some length\n").expect("a file");
     let engine = Engine::start(Options::default(), Arc::new(Ledger::default()));
-    let port = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    // Not where connections of other tests begin: one could have the port before the program does.
+    let port = std::net::TcpListener::bind("127.91.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     let list = file(&format!("{{\"instances\":[{}]}}", instance("e0", engine.addr(), "ready")));
     let config = common::appliance()
         .replace("127.0.0.1:8123", "127.0.0.1:0")
