Restart: what is open 0.3 s before the kill is answered, and half-read requests at the end

Lines at fault: Lifecycle::last_refusals and Core::answer_waiting, which answered only what was at no engine; what was out was left to the kill.

Now all that is open 0.3 s before the kill is answered by one rule, the one of upgrades: refused where it never ran or may run again (reads; so far a read that had begun was failed), else failed. Gone: answer_waiting, last_refusals. Also: a request half read when nothing else keeps the process is told 408 and closed in order (its connection went with the process); TCP_NODELAY at the second address and the operators' port, too.

Tests: six more crossings; endings.rs is four files by concern. The one on what waits before the kill held that the load that runs is still served when its engine answers behind that: it is now answered as failed before the kill, and the test says so.

--- a/crates/core/src/admit.rs
+++ b/crates/core/src/admit.rs
@@ -18,7 +18,7 @@
         if forgetful
             || self.leaves
             || self.open > self.limits.open
-            || usize::from(request.ask.class) >= self.classes
+            || usize::from(request.ask.class) >= self.effects.len()
         {
             return self.refuse(id, FULL_ADVICE);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,7 +25,7 @@
 pub use send::{AttemptError, Cause, Progress, Told};
 pub use take_in::{Ask, Piece, Taken};
 
-use fernlink::interface::{Action, Event, QueryId, Settings};
+use fernlink::interface::{Action, Effect, Event, QueryId, Settings};
 use fernlink::Controller;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -132,7 +132,8 @@
 pub struct Core {
     controller: Controller,
     limits: Limits,
-    classes: usize,
+    /// How often each class's effect may happen, by place.
+    effects: Vec<Effect>,
     has_tenants: bool,
     /// The longest advice with a refusal; `None` where none is heeded.
     advice_most: Option<Micros>,
@@ -158,7 +159,7 @@
     /// A core that has taken nothing yet.
     pub fn new(settings: Settings, limits: Limits, seed: u64) -> Core {
         Core {
-            classes: settings.classes.len(),
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
             has_tenants: !settings.tenants.is_empty(),
             advice_most: settings.retry_after,
             leaves: false,
@@ -209,6 +210,11 @@
         self.leaves = true;
     }
 
+    /// How often the effect of a class's queries may happen; `None` where there is no such class.
+    pub(crate) fn effect(&self, class: u16) -> Option<Effect> {
+        self.effects.get(usize::from(class)).copied()
+    }
+
     /// Requests with no final answer yet.
     pub fn open(&self) -> usize {
         self.open
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -31,7 +31,7 @@
 /// last answers go out so much before it.
 const KILLED_AFTER: Micros = 5_000_000;
 /// The same at a planned restart, on a platform that kills.
-pub const RESTART_KILLS_AFTER: Micros = 3_000_000;
+const RESTART_KILLS_AFTER: Micros = 3_000_000;
 const KILL_SPARE: Micros = 700_000;
 const LAST_WORD: Micros = 300_000;
 
@@ -240,16 +240,19 @@
         clients == 0 || now >= answered + LAST_CLOSE
     }
 
-    /// When all that is still open has to be answered, since the process is killed soon after.
-    pub fn last_word(&self) -> Option<Micros> {
-        let since = self.ending.filter(|_| self.left().is_some())?;
-        Some(since + self.longest.min(KILLED_AFTER) + KILL_SPARE - LAST_WORD)
+    /// Whether all was answered after the signal, and only connections keep the process, for a moment.
+    pub fn closes_last(&self) -> bool {
+        self.answered.is_some()
     }
 
-    /// When all that has not gone to an engine is answered, as the process may be killed soon after a planned restart's
-    /// signal: its client can still be served elsewhere. What is out may be answered until then.
-    pub fn last_refusals(&self) -> Option<Micros> {
-        let since = self.ending.filter(|_| self.killed && self.left().is_none())?;
-        Some(since + self.longest.min(RESTART_KILLS_AFTER) + KILL_SPARE - LAST_WORD)
+    /// When all that is still open has to be answered, since the process may be killed soon after: what hangs at an engine
+    /// until then would end with a reset.
+    pub fn last_word(&self) -> Option<Micros> {
+        let kill = match (self.left().is_some(), self.killed) {
+            (true, _) => KILLED_AFTER,
+            (false, true) => RESTART_KILLS_AFTER,
+            (false, false) => return None,
+        };
+        self.ending.map(|at| at + self.longest.min(kill) + KILL_SPARE - LAST_WORD)
     }
 }
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,7 +1,7 @@
 //! Stage 5, relay: an engine's answer goes to the client, and each request is answered once.
 
 use crate::{AttemptKey, Command, Core, Piece, Progress, RequestId};
-use fernlink::interface::{Event, Micros, Outcome};
+use fernlink::interface::{Effect, Event, Micros, Outcome};
 use std::rc::Rc;
 
 impl Core {
@@ -73,8 +73,8 @@
         }
     }
 
-    /// The process ends before they could all be served: each that is open is answered now. A refusal where it never
-    /// ran, so that its client may try elsewhere; else a failure.
+    /// The process ends, or is killed, before they could all be served: each that is open is answered now. A refusal where
+    /// it never ran or may run again, so that its client tries elsewhere; else a failure.
     pub fn answer_all(&mut self, now: Micros) {
         let ids: Vec<RequestId> = self.requests.iter().filter(|r| !r.1.closed).map(|r| *r.0).collect();
         for id in ids {
@@ -82,16 +82,6 @@
         }
     }
 
-    /// The process may be killed soon, and what is at no engine will hardly be served before that: it is refused where it
-    /// never ran, so that its client may try elsewhere, else failed.
-    pub fn answer_waiting(&mut self, now: Micros) {
-        let waits = |r: &crate::Request| !r.closed && r.out().is_none();
-        let ids: Vec<RequestId> = self.requests.iter().filter(|r| waits(r.1)).map(|r| *r.0).collect();
-        for id in ids {
-            self.answer_now(now, id);
-        }
-    }
-
     /// Answers an open request as far as it has come: a refusal where it never ran, else a failure.
     fn answer_now(&mut self, now: Micros, id: RequestId) {
         let ran = |a: &crate::send::Attempt| match a.outcome {
@@ -99,7 +89,8 @@
             // Of what waits for its connection nothing is written once the request is closed.
             None => a.progress >= crate::send::Progress::PartWritten,
         };
-        match self.requests.get(&id).is_some_and(|r| r.attempts.iter().any(ran)) {
+        let once = |r: &crate::Request| self.effect(r.ask.class) != Some(Effect::Safe);
+        match self.requests.get(&id).is_some_and(|r| once(r) && r.attempts.iter().any(ran)) {
             true => self.fail(id),
             false => self.refuse(id, crate::admit::FULL_ADVICE),
         }
--- a/crates/core/src/unheard.rs
+++ b/crates/core/src/unheard.rs
@@ -19,8 +19,6 @@
 pub(crate) struct Unheard {
     /// A word is overdue after this long; `None` where none is told.
     after: Option<Micros>,
-    /// How often each class's effect may happen, by place.
-    effects: Vec<Effect>,
     /// The latest writing of an attempt that was heard of, by engine.
     passed: BTreeMap<EngineId, Micros>,
     next: Micros,
@@ -31,7 +29,6 @@
         let after = settings.notes_every.filter(|_| tells);
         Unheard {
             after: after.map(|every| (every as f64 * LATE) as Micros + WAY),
-            effects: settings.classes.iter().map(|c| c.effect).collect(),
             passed: BTreeMap::new(),
             next: 0,
         }
@@ -61,7 +58,7 @@
         self.unheard.next = now + EVERY;
         let lost = |(&id, r): (&RequestId, &crate::Request)| {
             let (number, a) = r.out().filter(|_| !r.closed && r.relaying.is_none())?;
-            let safe = match self.unheard.effects.get(usize::from(r.ask.class)) {
+            let safe = match self.effect(r.ask.class) {
                 Some(Effect::Safe) => true,
                 Some(Effect::Keyed) => r.ask.token.is_some(),
                 Some(Effect::Unsafe) | None => false,
--- a/crates/core/tests/lifecycle.rs
+++ b/crates/core/tests/lifecycle.rs
@@ -141,16 +141,16 @@
 }
 
 #[test]
-fn what_a_restart_s_kill_would_find_is_not_taken_and_what_waits_is_refused_before_it() {
+fn what_a_restart_s_kill_would_find_is_not_taken_and_what_is_open_is_answered_before_it() {
     let mut life = Lifecycle::new(false, false, 25 * S, true);
     life.begin();
     life.end(S);
     assert!(life.takes(S + GRACE - 1) && life.keeps(S + GRACE - 1, 5 * S) && !life.sends_away(S + GRACE - 1));
     assert!(!life.takes(S + GRACE) && !life.keeps(S + GRACE, 0) && life.sends_away(S + GRACE));
     assert!(life.listens(S + LISTENS - 1) && !life.listens(S + LISTENS));
-    assert_eq!((life.last_refusals(), life.last_word()), (Some(4 * S + 400_000), None));
-    // Where nobody is known to kill, what waits is served as long as its client does.
+    assert_eq!(life.last_word(), Some(4 * S + 400_000));
+    // Where nobody is known to kill, what is open is served as long as its client waits.
     let mut unkilled = Lifecycle::new(false, false, 25 * S, false);
     unkilled.end(S);
-    assert_eq!(unkilled.last_refusals(), None);
+    assert_eq!(unkilled.last_word(), None);
 }
--- a/crates/node/src/node/clients/closing.rs
+++ b/crates/node/src/node/clients/closing.rs
@@ -36,6 +36,12 @@
         !open && !self.reader.is_within()
     }
 
+    /// A request has begun on it and is not whole, and nothing else is open.
+    fn is_half_read(&self) -> bool {
+        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
+        !open && !self.reader.body_goes_on() && self.reader.is_within()
+    }
+
     /// Its place among those that go where descriptors are short; `None` if it must stay.
     fn eviction(&self, now: Micros) -> Option<Micros> {
         let open = self.current.is_some() || self.is_writing() || self.reader.is_within() && !self.fresh;
@@ -54,7 +60,7 @@
                 (self.reader.held() == 0 && idle > UPLOAD_STALL).then_some(Expired::Stuck)
             }
             () if self.current.is_some() || self.close => None,
-            () if self.reader.is_within() => (now > self.begun + READ_MOST).then_some(Expired::HalfRead),
+            () if self.is_half_read() => (now > self.begun + READ_MOST).then_some(Expired::HalfRead),
             () if self.fresh => (now > self.begun + READ_MOST).then_some(Expired::AtRest),
             () => (idle > IDLE_MOST).then_some(Expired::AtRest),
         }
@@ -199,12 +205,14 @@
     /// Ends what has had its time, and reads closing connections out.
     pub(in crate::node) fn sweep_clients(&mut self, now: Micros) {
         // Who has connected and not spoken by then would speak to nobody.
-        let leaves = !self.life.takes(now);
+        let (leaves, last) = (!self.life.takes(now), self.life.closes_last());
         for id in self.clients.keys().copied().collect::<Vec<_>>() {
             let Some(client) = self.clients.get_mut(&id) else { continue };
             match client.expired(now) {
                 Some(Expired::Closed | Expired::Stuck) => self.drop_client(now, id),
                 Some(Expired::HalfRead) => self.end_half_read(now, id),
+                // The process ends before its time is up: it is told now, as its last byte may come in that moment.
+                None if last && client.is_half_read() => self.end_half_read(now, id),
                 Some(Expired::AtRest) => drop(self.close_at_rest(now, id)),
                 None if (client.may_close() || leaves && client.is_at_rest())
                     && !self.life.keeps(now, now.saturating_sub(client.used)) =>
@@ -240,8 +248,9 @@
     /// Closes a connection in order whose request never became whole, unless its last bytes have just come.
     fn end_half_read(&mut self, now: Micros, id: ConnId) {
         self.client_ready(now, id);
-        let half = |c: &&mut Client| c.expired(now) == Some(Expired::HalfRead);
-        if self.clients.get_mut(&id).filter(half).is_none() {
+        let last = self.life.closes_last();
+        let due = |c: &Client| c.is_half_read() && (last || c.expired(now) == Some(Expired::HalfRead));
+        if !self.clients.get(&id).is_some_and(due) {
             return;
         }
         self.tell_late(id);
--- a/crates/node/src/node/control.rs
+++ b/crates/node/src/node/control.rs
@@ -246,7 +246,8 @@
                     s.set_nonblocking(true).map(|()| self.watch(s.clone(), Source::Operator(id)))
                 }
                 Stream::Tcp(s) => {
-                    s.set_nonblocking(true).map(|()| self.watch(s.clone(), Source::Operator(id)))
+                    let set = s.set_nonblocking(true).and_then(|()| s.set_nodelay(true));
+                    set.map(|()| self.watch(s.clone(), Source::Operator(id)))
                 }
             };
             let Ok(Ok(token)) = registered else { continue };
--- a/crates/node/src/node/management.rs
+++ b/crates/node/src/node/management.rs
@@ -100,7 +100,7 @@
                 Err(e) if out_of_descriptors(&e) && self.evict(now) => continue,
                 Err(_) => return,
             };
-            if stream.set_nonblocking(true).is_err() {
+            if stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).is_err() {
                 continue;
             }
             let oldest =
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -361,9 +361,6 @@
         if self.life.last_word().is_some_and(|at| now >= at) {
             self.core.answer_all(now);
         }
-        if self.life.last_refusals().is_some_and(|at| now >= at) {
-            self.core.answer_waiting(now);
-        }
         if !self.life.listens(now) {
             self.stop_listening(now);
         }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -117,6 +117,11 @@
         self.signal("-TERM");
     }
 
+    /// Whether it has been asked to end and knows it; one that nobody can ask is not.
+    pub fn is_leaving(&self) -> bool {
+        get(self.addr, "/alive").status == 503
+    }
+
     /// Replaces its configuration and tells it so.
     pub fn reload(&self, config: &str) {
         std::fs::write(&self.files[0], config).expect("a temporary file");
--- /dev/null
+++ b/crates/node/tests/endings/lists.rs
@@ -0,0 +1,103 @@
+//! The list of engines: silent, away, or back with news.
+
+use crate::common::lines::{config, serve, List, Site};
+use crate::common::{self, stand_in, Coordinator};
+use socket2::{Domain, Socket, Type};
+use standins::ledger::Ledger;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+
+#[test]
+fn a_list_that_falls_silent_though_connected_is_taken_anew_and_no_drain_is_missed() {
+    // It tells one event to each caller, the next of those behind its last, and then says nothing at all.
+    let engines = Arc::new(Mutex::new(Vec::<String>::new()));
+    let (told, asked) = (engines.clone(), Arc::new(Mutex::new(Vec::<usize>::new())));
+    let calls = asked.clone();
+    let addr = stand_in(move |mut stream| {
+        let mut head = String::new();
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        while !head.ends_with("\r\n\r\n") {
+            if input.read_line(&mut head).unwrap_or(0) == 0 {
+                return;
+            }
+        }
+        let last = head.lines().find_map(|l| l.strip_prefix("Last-Event-ID: ")).unwrap();
+        let last: usize = last.parse().unwrap();
+        calls.lock().unwrap().push(last);
+        let event = told.lock().unwrap().get(last).cloned();
+        let event = event.map(|e| format!("id: {}\ndata: {e}\n\n", last + 1)).unwrap_or_default();
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{event}").as_bytes());
+        let _ = input.read_line(&mut head);
+    });
+    let list = List { addr, events: Arc::default(), asked: Arc::default() };
+    let coordinator = Coordinator::start(&config(addr));
+    let mut site = Site { ledger: Arc::default(), coordinator, list, engines: Vec::new() };
+    for n in 0..2 {
+        let ledger = site.ledger.clone();
+        site.engines.push(stand_in(move |stream| serve(stream, n, &ledger)));
+    }
+    let event = |index: usize, phase: &str| {
+        let line = [
+            common::instance("e0", site.engines[0], phase),
+            common::instance("e1", site.engines[1], "ready"),
+        ];
+        format!(
+            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{}]}}}}",
+            line.join(",")
+        )
+    };
+    engines.lock().unwrap().extend([event(1, "ready"), event(2, "draining")]);
+    site.coordinator.wait_for("lists_taken", 3);
+    for n in 0..5 {
+        assert_eq!(site.ask("lookup", 2500, &format!("SELECT {n}")).status, 200);
+    }
+    assert!(site.ledger.of("").iter().all(|e| e.engine == "1"));
+    assert_eq!(asked.lock().unwrap()[..2], [0, 1]);
+}
+
+#[test]
+fn with_the_list_away_it_serves_from_what_is_known_and_hears_of_a_drain_once_that_is_back() {
+    // Bound, so that nobody else gets the address, and refused until it listens.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    let ledger = Arc::new(Ledger::default());
+    let engine = |n| {
+        let ledger = ledger.clone();
+        stand_in(move |stream| serve(stream, n, &ledger))
+    };
+    let engines = [engine(0), engine(1)];
+    let event = |index: usize, phase: &str| {
+        let lines = [common::instance("e0", engines[0], phase), common::instance("e1", engines[1], "ready")];
+        let lines = lines.join(",");
+        format!(
+            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{lines}]}}}}"
+        )
+    };
+    let known = format!("\"known\": {{\"index\": 3, \"updates\": [{}]}}, \"limits\"", event(3, "ready"));
+    let coordinator = Coordinator::start(&config(addr).replace("\"limits\"", &known));
+    coordinator.wait_until_ready();
+    let ask = |n: usize| {
+        let headers = format!("X-Call-Id: {n:016x}\r\nX-Patience-Ms: 2400\r\n");
+        let statement = format!("SELECT {n}");
+        assert_eq!(common::post(coordinator.addr, "/ops/lookup", &headers, &statement).status, 200);
+        ledger.of(&statement)[0].engine.clone()
+    };
+    assert!((1..=8).map(ask).any(|engine| engine == "0"));
+    // It is back, with news from behind what was known.
+    let before = coordinator.counter("lists_taken");
+    socket.listen(8).unwrap();
+    let (socket, _) = socket.accept().unwrap();
+    let mut stream = TcpStream::from(socket);
+    let mut head = String::new();
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    while !head.ends_with("\r\n\r\n") {
+        assert!(input.read_line(&mut head).unwrap() > 0);
+    }
+    assert!(head.contains("\r\nLast-Event-ID: 3\r\n"), "{head}");
+    let news = format!("HTTP/1.1 200 OK\r\n\r\nid: 4\ndata: {}\n\n", event(4, "draining"));
+    stream.write_all(news.as_bytes()).unwrap();
+    coordinator.wait_for("lists_taken", before + 1);
+    assert!((11..=18).map(ask).all(|engine| engine == "1"));
+}
--- /dev/null
+++ b/crates/node/tests/endings/main.rs
@@ -0,0 +1,146 @@
+//! Moments in which something ends while something else is still owed: `docs/endings.md` names each. The program runs on
+//! loopback; a stand-in waits for events, and where two things have to be found at once the program is held still meanwhile.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod clients;
+mod engines;
+mod lists;
+mod shutdown;
+
+use common::lines::{config, List, Site};
+use common::{stand_in, Coordinator};
+use standins::ledger::Ledger;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+fn request(class: &str, id: u64, more: &str, statement: &str) -> String {
+    let length = statement.len();
+    format!(
+        "POST /ops/{class} HTTP/1.1\r\nX-Call-Id: {id:016x}\r\nX-Patience-Ms: 2400\r\n{more}\
+         Content-Length: {length}\r\n\r\n{statement}"
+    )
+}
+
+/// A load of the one key that these tests use, with all the time that its class gives.
+fn load(id: u64, statement: &str) -> String {
+    request("member-load", id, "X-Entity: 000000000000000a\r\n", statement).replace("2400", "25000")
+}
+
+fn open(site: &Site, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(site.coordinator.addr).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream
+}
+
+/// Waits for the end of what the other side says; an error if that is a reset.
+fn rest(stream: &mut TcpStream) -> std::io::Result<Vec<u8>> {
+    stream.set_read_timeout(Some(common::FOR_EVER)).unwrap();
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).map(|_| rest)
+}
+
+fn ran(site: &Site) -> Vec<String> {
+    site.ledger.of("").into_iter().map(|e| e.statement).collect()
+}
+
+/// Waits until something is so.
+fn until(what: &str, mut so: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !so() {
+        assert!(begin.elapsed() < common::FOR_EVER, "never: {what}");
+        std::thread::yield_now();
+    }
+}
+
+/// Lets a time pass that a rule names: what comes behind it is what the test is about.
+fn let_pass(time: Duration) {
+    std::thread::sleep(time);
+}
+
+/// A site whose engines are these, with its coordinator ready.
+fn site_of(ledger: Arc<Ledger>, engines: Vec<std::net::SocketAddr>, edit: impl Fn(String) -> String) -> Site {
+    let list = List::start();
+    let coordinator = Coordinator::start(&edit(config(list.addr)));
+    let site = Site { ledger, coordinator, list, engines };
+    site.tell(&vec!["ready"; site.engines.len()], "");
+    site.coordinator.wait_until_ready();
+    site
+}
+
+/// What is held at an engine waits here until it is opened.
+#[derive(Default)]
+struct Gate(Mutex<bool>, Condvar);
+
+impl Gate {
+    fn open(&self) {
+        *self.0.lock().unwrap() = true;
+        self.1.notify_all();
+    }
+
+    fn pass(&self) {
+        let shut = self.0.lock().unwrap();
+        drop(self.1.wait_while(shut, |open| !*open).unwrap());
+    }
+}
+
+/// A site of one engine that answers what says "held" behind the returned gate, "full" by a SHED, and all else at once.
+fn held() -> (Site, Arc<Gate>) {
+    let (ledger, gate) = (Arc::new(Ledger::default()), Arc::new(Gate::default()));
+    let (runs, gate_there) = (ledger.clone(), gate.clone());
+    let engine = stand_in(move |stream| hold(stream, &runs, &gate_there));
+    (site_of(ledger, vec![engine], |config| config), gate)
+}
+
+/// The same, with the key of [`load`] taken until the gate opens; the load's client stays.
+fn with_key_taken() -> (Site, TcpStream, Arc<Gate>) {
+    let (site, gate) = held();
+    let first = open(&site, &load(1, "INSERT held"));
+    site.ledger.wait_for("INSERT held", 1);
+    (site, first, gate)
+}
+
+fn hold(stream: TcpStream, ledger: &Arc<Ledger>, gate: &Arc<Gate>) {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    let out = stream;
+    loop {
+        let mut line = String::new();
+        if input.read_line(&mut line).unwrap_or(0) == 0 {
+            return;
+        }
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let (answer, entry, waits) = match words[..] {
+            ["STAT", tag] => (format!("{tag} PONG gauges=inflight:1;queue:0;x0:0.1 0\r\n\r\n"), None, false),
+            ["REQ", id, _, length] => {
+                let mut body = vec![0; length.parse::<usize>().unwrap() + 2];
+                input.read_exact(&mut body).unwrap();
+                let statement = String::from_utf8_lossy(&body[..body.len() - 2]).into_owned();
+                let number = ledger.of("").len().to_string();
+                let entry = ledger.begin("0", &number, &statement, None);
+                let answer = match statement.contains("full") {
+                    true => format!("{id} SHED - 0\r\n\r\n"),
+                    false => format!("{id} HIT fetches=1 6\r\n1\ta\tb\n\r\n"),
+                };
+                (answer, Some(entry), statement.contains("held"))
+            }
+            _ => continue,
+        };
+        // On a thread of its own: what is held must not hold up what else comes here.
+        let (mut out, ledger, gate) = (out.try_clone().unwrap(), ledger.clone(), gate.clone());
+        let mut answer = move || {
+            if waits {
+                gate.pass();
+            }
+            let _ = out.write_all(answer.as_bytes());
+            entry.into_iter().for_each(|entry| ledger.end(entry, true));
+        };
+        match waits {
+            true => drop(std::thread::spawn(answer)),
+            false => answer(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/endings/shutdown.rs
@@ -0,0 +1,131 @@
+//! SIGTERM, and what comes while the process leaves.
+
+use super::{held, let_pass, load, open, request, rest, until, with_key_taken};
+use crate::common::lines::Site;
+use crate::common::{read_answer, read_next};
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+fn until_nobody_listens(site: &Site) {
+    until("nobody listens", || TcpStream::connect(site.coordinator.addr).is_err());
+}
+
+#[test]
+fn behind_the_grace_of_a_shutdown_a_request_is_refused_and_never_sent() {
+    let mut site = Site::start(1);
+    let mut out = open(&site, &request("report", 1, "", "SELECT silent"));
+    site.ledger.wait_for("SELECT silent", 1);
+    let mut resting = open(&site, &request("lookup", 2, "", "SELECT 2"));
+    assert_eq!(read_answer(&mut resting).status, 200);
+    let late = request("lookup", 3, "", "SELECT late");
+    let mut half = open(&site, &late[..40]);
+    site.coordinator.wait_for("connections_clients", 4);
+    site.coordinator.terminate();
+    // Whoever rests is sent away in order once nothing more is taken; the engine hangs, so that the process stays.
+    assert_eq!(rest(&mut resting).unwrap(), b"");
+    half.write_all(&late.as_bytes()[40..]).unwrap();
+    let answer = read_answer(&mut half);
+    assert_eq!((answer.status, answer.header("Connection")), (429, Some("close")));
+    assert_eq!(site.ledger.of("SELECT late").len(), 0);
+    // Nobody listens any more, while what was taken before is answered all the same.
+    until_nobody_listens(&site);
+    assert_eq!(read_answer(&mut out).status, 429);
+    assert!(site.coordinator.wait().success());
+}
+
+#[test]
+fn what_waits_when_a_restart_s_kill_is_near_is_refused_so_that_it_may_be_served_elsewhere() {
+    let (mut site, mut first, gate) = with_key_taken();
+    let mut second = open(&site, &load(2, "INSERT second"));
+    site.coordinator.wait_for("requests_taken", 2);
+    site.coordinator.terminate();
+    // Its time is far from over, but the first of its key holds the only engine.
+    assert_eq!(read_answer(&mut second).status, 429);
+    // The first has begun, and may not run again elsewhere.
+    assert_eq!(read_answer(&mut first).status, 500);
+    gate.open();
+    assert!(site.coordinator.wait().success());
+    assert_eq!(site.ledger.of("INSERT").len(), 1);
+}
+
+#[test]
+fn an_answer_written_as_the_process_ends_is_not_lost_to_bytes_behind_it() {
+    let (mut site, mut first, gate) = with_key_taken();
+    site.coordinator.terminate();
+    // Once nobody listens only this request keeps the process.
+    until_nobody_listens(&site);
+    // The answer, and a request that nobody will take, come to the program at one moment.
+    site.coordinator.freeze();
+    gate.open();
+    site.ledger.wait_until("the load's end", |all| all.iter().any(|e| e.over.is_some()));
+    first.write_all(request("lookup", 9, "", "SELECT never").as_bytes()).unwrap();
+    site.coordinator.wake();
+    let mut reader = Default::default();
+    assert_eq!(read_next(&mut first, &mut reader).status, 200);
+    // In order: an end, not a reset.
+    assert!(rest(&mut first).is_ok());
+    drop(first);
+    assert!(site.coordinator.wait().success());
+    assert_eq!(site.ledger.of("SELECT never").len(), 0);
+}
+
+#[test]
+fn what_comes_while_the_process_stands_still_past_its_grace_is_answered_and_not_reset() {
+    let (mut site, gate) = held();
+    let mut out = open(&site, &request("lookup", 1, "", "SELECT held"));
+    site.ledger.wait_for("SELECT held", 1);
+    let mut resting = open(&site, &request("lookup", 2, "", "SELECT 2"));
+    assert_eq!(read_answer(&mut resting).status, 200);
+    site.coordinator.terminate();
+    until("the signal is taken", || site.coordinator.is_leaving());
+    site.coordinator.freeze();
+    // One in the backlog of a listener, one on a connection at rest: both are to be closed as soon as it goes on.
+    let mut backlog = open(&site, &request("lookup", 3, "", "SELECT late"));
+    resting.write_all(request("lookup", 4, "", "SELECT late").as_bytes()).unwrap();
+    let_pass(Duration::from_millis(1000));
+    site.coordinator.wake();
+    for late in [&mut backlog, &mut resting] {
+        let answer = read_answer(late);
+        assert_eq!((answer.status, answer.header("Connection")), (429, Some("close")));
+        assert_eq!(rest(late).unwrap(), b"");
+    }
+    gate.open();
+    assert_eq!(read_answer(&mut out).status, 200);
+    assert!(site.coordinator.wait().success());
+    assert_eq!(site.ledger.of("SELECT late").len(), 0);
+}
+
+#[test]
+fn what_hangs_at_an_engine_is_answered_before_a_restart_s_kill() {
+    let (mut site, gate) = held();
+    let mut read = open(&site, &request("report", 1, "", "SELECT held").replace("2400", "15000"));
+    let mut load = open(&site, &load(2, "INSERT held"));
+    site.ledger.wait_for("SELECT held", 1);
+    site.ledger.wait_for("INSERT held", 1);
+    let begin = Instant::now();
+    site.coordinator.terminate();
+    // A read may run again elsewhere; a load that has begun may not.
+    assert_eq!(read_answer(&mut read).status, 429);
+    assert_eq!(read_answer(&mut load).status, 500);
+    assert!(site.coordinator.wait().success());
+    // The kill comes after 3.7 s; their own deadlines are far off.
+    assert!(begin.elapsed() < Duration::from_secs(10));
+    gate.open();
+}
+
+#[test]
+fn a_request_half_read_as_the_process_ends_is_told_so() {
+    let mut site = Site::start(1);
+    let mut half = open(&site, &request("lookup", 1, "", "SELECT half")[..40]);
+    site.coordinator.wait_for("connections_clients", 2);
+    site.coordinator.terminate();
+    let mut reader = Default::default();
+    assert_eq!(read_next(&mut half, &mut reader).status, 408);
+    // Its last bytes cross that: an end in order all the same.
+    half.write_all(&request("lookup", 1, "", "SELECT half").as_bytes()[40..]).unwrap();
+    assert!(rest(&mut half).is_ok());
+    drop(half);
+    assert!(site.coordinator.wait().success());
+    assert_eq!(site.ledger.of("SELECT half").len(), 0);
+}
