--- a/crates/node/src/node/clients/requests.rs
+++ b/crates/node/src/node/clients/requests.rs
@@ -75,7 +75,9 @@
                     self.carry_out();
                     return true;
                 }
-                if !self.life.takes(now) {
+                // Asked with the clock as it is: the process may have stood still since this turn began.
+                let taken_at = self.clock();
+                if !self.life.takes(taken_at) {
                     self.core.leave();
                 }
                 let (call, class, budget) = (ask.call.clone(), ask.class, ask.budget);
