Endings: one guard for a free connection, one look for a client's end, no flag for an ended one

What a free connection is stood in two places, word for word, and so did the begin of a close: is_free, begin_close. The system was asked for a client's end in two places, one of which returned what nobody used: drop_if_ended. Client::gone lived for one call: it is next_request's argument. may_close had one caller. Before an attempt's first byte the client was asked for even while a body was still being passed on there, with each write of it: now behind that. Lines::end hands back the attempt, which its caller looked up before it. Tests: engines, lines of the list and events had three copies each, a site's start two (Site::of, engines, instances, event in common/lines.rs); no assertion is changed.

--- a/crates/node/src/backs/lines.rs
+++ b/crates/node/src/backs/lines.rs
@@ -127,13 +127,14 @@
         Lines { reader, open, ended, probes, most, gauges, within: None }
     }
 
-    /// What was open under this id ended without being served.
-    fn end(&mut self, id: &str) {
-        let Some((id, _)) = self.open.remove_entry(id) else { return };
+    /// What was open under this id ended without being served; which attempt that was.
+    fn end(&mut self, id: &str) -> Option<AttemptKey> {
+        let (id, open) = self.open.remove_entry(id)?;
         if self.ended.len() >= ENDED_MOST {
             self.ended.pop_front();
         }
         self.ended.push_back(id);
+        Some(open.key)
     }
 
     fn report(&self, answer: &Answer) -> Vec<f64> {
@@ -354,9 +355,8 @@
             }
         }
         for id in late {
-            let key = self.open.get(&id).map(|o| o.key);
-            self.end(&id);
-            seen.extend(key.map(|key| Seen::Failed(key, Cause::Spoilt("its pages never came".into()))));
+            let failed = |key| Seen::Failed(key, Cause::Spoilt("its pages never came".into()));
+            seen.extend(self.end(&id).map(failed));
         }
         Ok(())
     }
--- a/crates/node/src/node/clients/closing.rs
+++ b/crates/node/src/node/clients/closing.rs
@@ -24,22 +24,19 @@
 const EVICTIONS_TRIED: usize = 4;
 
 impl Client {
-    /// Nothing is open on it, or on its way, that a close in order would hurt. Whoever has just connected has a request
-    /// to write, and holds it back where its key's last one went out lately: that one has its usual time.
-    fn may_close(&self) -> bool {
-        self.is_at_rest() && !self.fresh
+    /// No answer is owed on it or on its way, and no close has begun.
+    fn is_free(&self) -> bool {
+        !(self.current.is_some() || self.close || self.shut || self.is_writing())
     }
 
-    /// Nothing is open or half read on it, nothing waits to be written, and no close has begun.
+    /// Nothing is open on it, or half read, that a close in order would hurt.
     fn is_at_rest(&self) -> bool {
-        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
-        !open && !self.reader.is_within()
+        self.is_free() && !self.reader.is_within()
     }
 
     /// A request has begun on it and is not whole, and nothing else is open.
     fn is_half_read(&self) -> bool {
-        let open = self.current.is_some() || self.close || self.shut || self.is_writing();
-        !open && !self.reader.body_goes_on() && self.reader.is_within()
+        self.is_free() && !self.reader.body_goes_on() && self.reader.is_within()
     }
 
     /// Its place among those that go where descriptors are short; `None` if it must stay.
@@ -167,20 +164,16 @@
     /// the same turn as what let the request go, or not be read yet.
     pub(in crate::node) fn look_for_client(&mut self, now: Micros, request: RequestId) {
         let Some(&(id, _, taken)) = self.asking.get(&request) else { return };
-        if taken < now && self.clients.get(&id).is_some_and(|c| c.link.peer_has_ended()) {
-            self.drop_client(now, id);
+        if taken < now {
+            self.drop_if_ended(now, id);
         }
     }
 
-    /// Reading waits, and so an end of the peer's behind the bytes that are not read yet brings no word of its own: it is
-    /// asked for. True if the client has left.
-    pub(super) fn has_hung_up(&mut self, now: Micros, id: ConnId) -> bool {
-        let Some(client) = self.clients.get(&id) else { return false };
-        let gone = client.more && !client.shut && client.link.peer_has_ended();
-        if gone {
+    /// Asks the system for an end of the peer's: behind bytes that are not read yet it brings no word of its own.
+    pub(super) fn drop_if_ended(&mut self, now: Micros, id: ConnId) {
+        if self.clients.get(&id).is_some_and(|c| c.link.peer_has_ended()) {
             self.drop_client(now, id);
         }
-        gone
     }
 
     /// Reads what stands behind more than is held, and drops it: unread, it would hide that the client leaves. The requests that
@@ -199,9 +192,7 @@
     /// The client has ended its side: what it asked is not wanted any more, and what stands unread behind it neither. What is
     /// malformed is told.
     pub(super) fn client_ended(&mut self, now: Micros, id: ConnId) {
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        client.gone = true;
-        while self.next_request(now, id) {}
+        while self.next_request(now, id, true) {}
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.current.is_none() && !client.shut && !client.close && client.reader.is_within() {
             // It may still read why its half request is not answered.
@@ -213,7 +204,7 @@
 
     /// Ends what has had its time, and reads closing connections out.
     pub(in crate::node) fn sweep_clients(&mut self, now: Micros) {
-        // Who has connected and not spoken by then would speak to nobody.
+        // Who has connected and not spoken once it leaves would speak to nobody.
         let (leaves, last) = (!self.life.takes(now), self.life.closes_last());
         for id in self.clients.keys().copied().collect::<Vec<_>>() {
             let Some(client) = self.clients.get_mut(&id) else { continue };
@@ -223,7 +214,10 @@
                 // The process ends before its time is up: it is told now, as its last byte may come in that moment.
                 None if last && client.is_half_read() => self.end_half_read(now, id),
                 Some(Expired::AtRest) => drop(self.close_at_rest(now, id)),
-                None if (client.may_close() || leaves && client.is_at_rest())
+                // Whoever has just connected has a request to write, and holds it back where its key's last one went out
+                // lately: that one has its usual time.
+                None if client.is_at_rest()
+                    && (leaves || !client.fresh)
                     && !self.life.keeps_alive(now, now.saturating_sub(client.used)) =>
                 {
                     self.sent_away += u64::from(self.close_at_rest(now, id));
@@ -248,10 +242,18 @@
     /// once more by its client, elsewhere. True if the close has begun.
     fn close_at_rest(&mut self, now: Micros, id: ConnId) -> bool {
         self.client_ready(now, id);
-        let Some(client) = self.clients.get_mut(&id).filter(|c| c.is_at_rest()) else { return false };
-        (client.close, client.used) = (true, now);
+        let rests = self.clients.get(&id).is_some_and(Client::is_at_rest);
+        if rests {
+            self.begin_close(now, id);
+        }
+        rests
+    }
+
+    fn begin_close(&mut self, now: Micros, id: ConnId) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            (client.close, client.used) = (true, now);
+        }
         self.client_work(now, id);
-        true
     }
 
     /// Closes a connection in order whose request never became whole, unless its last bytes have just come.
@@ -259,13 +261,9 @@
         self.client_ready(now, id);
         let last = self.life.closes_last();
         let due = |c: &Client| c.is_half_read() && (last || c.expired(now) == Some(Expired::HalfRead));
-        if !self.clients.get(&id).is_some_and(due) {
-            return;
-        }
-        self.tell_request_timeout(id);
-        if let Some(client) = self.clients.get_mut(&id) {
-            (client.close, client.used) = (true, now);
+        if self.clients.get(&id).is_some_and(due) {
+            self.tell_request_timeout(id);
+            self.begin_close(now, id);
         }
-        self.client_work(now, id);
     }
 }
--- a/crates/node/src/node/clients/mod.rs
+++ b/crates/node/src/node/clients/mod.rs
@@ -63,8 +63,6 @@
     kept: usize,
     /// Our side is shut; what still comes is dropped.
     shut: bool,
-    /// The peer has ended its side: no request that is still read is wanted any more.
-    gone: bool,
     /// More was sent behind the open request than is held: what comes is dropped, and the connection closes behind the answer.
     overrun: bool,
     /// Reading stopped with more to come.
@@ -148,7 +146,6 @@
                         close: false,
                         answering: false,
                         shut: false,
-                        gone: false,
                         overrun: false,
                         more: true,
                         continued: false,
@@ -269,7 +266,7 @@
             if !flushed && client.current.is_none() {
                 return;
             }
-            if self.next_request(now, id) || self.has_outgrown(now, id) {
+            if self.next_request(now, id, false) || self.has_outgrown(now, id) {
                 continue;
             }
             let Some(client) = self.clients.get_mut(&id) else { return };
@@ -278,10 +275,12 @@
             if client.more && !client.shut && full && client.current.is_some() && self.front.asks_in_turn() {
                 return self.discard_pipelined(now, id);
             }
-            if !client.more || client.shut || full {
-                self.has_hung_up(now, id);
+            if !client.more || client.shut {
                 return;
             }
+            if full {
+                return self.drop_if_ended(now, id);
+            }
             let mut bytes = Vec::new();
             let end = match client.link.read(&mut bytes, READ_AT_ONCE) {
                 Ok(end) => end,
--- a/crates/node/src/node/clients/requests.rs
+++ b/crates/node/src/node/clients/requests.rs
@@ -7,8 +7,9 @@
 use driftfront_http::response;
 
 impl Node {
-    /// Takes the next request off the reader, if none is open; true if one was there.
-    pub(super) fn next_request(&mut self, now: Micros, id: ConnId) -> bool {
+    /// Takes the next request off the reader, if none is open; true if one was there. `ended`: its client has ended its side,
+    /// and nothing that is still read is wanted any more.
+    pub(super) fn next_request(&mut self, now: Micros, id: ConnId, ended: bool) -> bool {
         let Some(client) = self.clients.get_mut(&id) else { return false };
         let idle = client.reader.held() == 0 || now < client.pause_until;
         if client.current.is_some() || client.close || idle {
@@ -30,7 +31,7 @@
             }
         };
         // Behind unread bytes an end of the client's would come to light only once it is served.
-        let gone = client.gone || client.more && client.link.peer_has_ended();
+        let gone = ended || client.more && client.link.peer_has_ended();
         client.continued = false;
         client.close = request.close;
         (client.used, client.begun, client.fresh) = (now, now, false);
--- a/crates/node/src/node/engines/traffic.rs
+++ b/crates/node/src/node/engines/traffic.rs
@@ -44,9 +44,6 @@
                 Ok(false) => return,
                 Ok(true) => {}
             }
-            if let Some(&Work::Attempt(key, _)) = self.engines.get(&id).and_then(|c| c.waiting.front()) {
-                self.look_for_client(now, key.request);
-            }
             let Some(conn) = self.engines.get_mut(&id) else { return };
             if let Some(key) = conn.feeding {
                 if self.feed_engine(now, id, key) {
@@ -54,6 +51,10 @@
                 }
                 return;
             }
+            if let Some(&Work::Attempt(key, _)) = conn.waiting.front() {
+                self.look_for_client(now, key.request);
+            }
+            let Some(conn) = self.engines.get_mut(&id) else { return };
             let Some(work) = conn.waiting.pop_front() else { return };
             let mut out = Vec::new();
             // A probe that still waits says nothing of when what is written now should be heard of.
--- a/crates/node/tests/common/lines.rs
+++ b/crates/node/tests/common/lines.rs
@@ -144,11 +144,7 @@
 
     pub fn tell(&self, instances: &[String], more: &str) {
         let mut events = self.events.lock().unwrap();
-        let index = events.0.len() + 1;
-        let all = instances.join(",");
-        let event = format!(
-            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{all}]}}{more}}}"
-        );
+        let event = event(events.0.len() + 1, instances, more);
         events.0.push(event);
         for wake in &events.1 {
             let _ = wake.send(());
@@ -156,6 +152,29 @@
     }
 }
 
+/// The list's lines on these engines, e0 and on.
+pub fn instances(engines: &[SocketAddr], phases: &[&str]) -> Vec<String> {
+    let each = engines.iter().zip(phases).enumerate();
+    each.map(|(n, (addr, phase))| instance(&format!("e{n}"), *addr, phase)).collect()
+}
+
+/// An event that tells these engines' lines, and more if that is not empty.
+pub fn event(index: usize, instances: &[String], more: &str) -> String {
+    let all = instances.join(",");
+    format!(
+        "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{all}]}}{more}}}"
+    )
+}
+
+/// So many engines that speak in lines, with one ledger.
+pub fn engines(number: usize, ledger: &Arc<Ledger>) -> Vec<SocketAddr> {
+    let engine = |n| {
+        let ledger = ledger.clone();
+        stand_in(move |stream| serve(stream, n, &ledger))
+    };
+    (0..number).map(engine).collect()
+}
+
 pub struct Site {
     pub coordinator: Coordinator,
     pub ledger: Arc<Ledger>,
@@ -183,11 +202,16 @@
     /// A site whose coordinator is started in a way of its own.
     pub fn with(engines: usize, start: impl FnOnce(String) -> Coordinator) -> Site {
         let ledger = Arc::new(Ledger::default());
-        let engine = |n| {
-            let ledger = ledger.clone();
-            stand_in(move |stream| serve(stream, n, &ledger))
-        };
-        let engines: Vec<SocketAddr> = (0..engines).map(engine).collect();
+        let engines = self::engines(engines, &ledger);
+        Site::of(ledger, engines, start)
+    }
+
+    /// A site of these engines, with its coordinator ready.
+    pub fn of(
+        ledger: Arc<Ledger>,
+        engines: Vec<SocketAddr>,
+        start: impl FnOnce(String) -> Coordinator,
+    ) -> Site {
         let list = List::start();
         let site = Site { ledger, coordinator: start(config(list.addr)), list, engines };
         site.tell(&vec!["ready"; site.engines.len()], "");
@@ -196,9 +220,7 @@
     }
 
     pub fn tell(&self, phases: &[&str], more: &str) {
-        let lines = self.engines.iter().zip(phases).enumerate();
-        let lines: Vec<String> = lines.map(|(n, (a, phase))| instance(&format!("e{n}"), *a, phase)).collect();
-        self.list.tell(&lines, more);
+        self.list.tell(&instances(&self.engines, phases), more);
     }
 
     pub fn ask(&self, class: &str, patience: u32, statement: &str) -> Answer {
--- a/crates/node/tests/endings/engines.rs
+++ b/crates/node/tests/endings/engines.rs
@@ -1,8 +1,8 @@
 //! Answers and connections of engines that end at a bad moment.
 
-use super::{open, request, site_of, until};
+use super::{open, request, until};
 use crate::common::lines::{read_statement, Site};
-use crate::common::{read_answer, stand_in};
+use crate::common::{read_answer, stand_in, Coordinator};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
@@ -51,7 +51,7 @@
             line.clear();
         }
     });
-    let site = site_of(Arc::default(), vec![engine], |config| config);
+    let site = Site::of(Arc::default(), vec![engine], |config| Coordinator::start(&config));
     assert_eq!(site.ask("lookup", 2500, "SELECT 1").status, 200);
     // Each id goes once over a connection, so that what comes late has nobody to be taken for.
     let tried = tried.lock().unwrap();
@@ -86,7 +86,7 @@
         }
     });
     let edit = |config: String| config.replace("\"MayProbe\": true", "\"MayProbe\": false");
-    let site = site_of(Arc::default(), vec![engine], edit);
+    let site = Site::of(Arc::default(), vec![engine], |config| Coordinator::start(&edit(config)));
     let mut first = open(&site, &request("lookup", 1, "", "SELECT first"));
     until("it is asked", || !asked.lock().unwrap().is_empty());
     let mut second = TcpStream::connect(site.coordinator.addr).unwrap();
--- a/crates/node/tests/endings/lists.rs
+++ b/crates/node/tests/endings/lists.rs
@@ -1,6 +1,6 @@
 //! The list of engines: silent, away, or back with news.
 
-use crate::common::lines::{config, read_head, serve, List, Site};
+use crate::common::lines::{config, engines, event, instances, read_head, List, Site};
 use crate::common::{self, stand_in, Coordinator};
 use socket2::{Domain, Socket, Type};
 use standins::ledger::Ledger;
@@ -11,8 +11,8 @@
 #[test]
 fn a_list_that_falls_silent_though_connected_is_taken_anew_and_no_drain_is_missed() {
     // It tells one event to each caller, the next of those behind its last, and then says nothing at all.
-    let engines = Arc::new(Mutex::new(Vec::<String>::new()));
-    let (told, asked) = (engines.clone(), Arc::new(Mutex::new(Vec::<usize>::new())));
+    let tells = Arc::new(Mutex::new(Vec::<String>::new()));
+    let (told, asked) = (tells.clone(), Arc::new(Mutex::new(Vec::<usize>::new())));
     let calls = asked.clone();
     let addr = stand_in(move |mut stream| {
         let mut input = BufReader::new(stream.try_clone().unwrap());
@@ -27,22 +27,10 @@
     });
     let list = List { addr, events: Arc::default(), asked: Arc::default() };
     let coordinator = Coordinator::start(&config(addr));
-    let mut site = Site { ledger: Arc::default(), coordinator, list, engines: Vec::new() };
-    for n in 0..2 {
-        let ledger = site.ledger.clone();
-        site.engines.push(stand_in(move |stream| serve(stream, n, &ledger)));
-    }
-    let event = |index: usize, phase: &str| {
-        let line = [
-            common::instance("e0", site.engines[0], phase),
-            common::instance("e1", site.engines[1], "ready"),
-        ];
-        format!(
-            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{}]}}}}",
-            line.join(",")
-        )
-    };
-    engines.lock().unwrap().extend([event(1, "ready"), event(2, "draining")]);
+    let ledger = Arc::default();
+    let site = Site { coordinator, list, engines: engines(2, &ledger), ledger };
+    let news = |index, phase| event(index, &instances(&site.engines, &[phase, "ready"]), "");
+    tells.lock().unwrap().extend([news(1, "ready"), news(2, "draining")]);
     site.coordinator.wait_for("lists_taken", 3);
     for n in 0..5 {
         assert_eq!(site.ask("lookup", 2500, &format!("SELECT {n}")).status, 200);
@@ -60,19 +48,9 @@
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     let addr = socket.local_addr().unwrap().as_socket().unwrap();
     let ledger = Arc::new(Ledger::default());
-    let engine = |n| {
-        let ledger = ledger.clone();
-        stand_in(move |stream| serve(stream, n, &ledger))
-    };
-    let engines = [engine(0), engine(1)];
-    let event = |index: usize, phase: &str| {
-        let lines = [common::instance("e0", engines[0], phase), common::instance("e1", engines[1], "ready")];
-        let lines = lines.join(",");
-        format!(
-            "{{\"index\":{index},\"endpoints\":{{\"generation\":1,\"reset\":false,\"instances\":[{lines}]}}}}"
-        )
-    };
-    let known = format!("\"known\": {{\"index\": 3, \"updates\": [{}]}}, \"limits\"", event(3, "ready"));
+    let engines = engines(2, &ledger);
+    let news = |index, phase| event(index, &instances(&engines, &[phase, "ready"]), "");
+    let known = format!("\"known\": {{\"index\": 3, \"updates\": [{}]}}, \"limits\"", news(3, "ready"));
     let coordinator = Coordinator::start(&config(addr).replace("\"limits\"", &known));
     coordinator.wait_until_ready();
     let ask = |n: usize| {
@@ -89,8 +67,8 @@
     let mut stream = TcpStream::from(socket);
     let head = read_head(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
     assert!(head.contains("\r\nLast-Event-ID: 3\r\n"), "{head}");
-    let news = format!("HTTP/1.1 200 OK\r\n\r\nid: 4\ndata: {}\n\n", event(4, "draining"));
-    stream.write_all(news.as_bytes()).unwrap();
+    let told = format!("HTTP/1.1 200 OK\r\n\r\nid: 4\ndata: {}\n\n", news(4, "draining"));
+    stream.write_all(told.as_bytes()).unwrap();
     coordinator.wait_for("lists_taken", before + 1);
     assert!((11..=18).map(ask).all(|engine| engine == "1"));
 }
--- a/crates/node/tests/endings/main.rs
+++ b/crates/node/tests/endings/main.rs
@@ -9,7 +9,7 @@
 mod lists;
 mod shutdown;
 
-use common::lines::{config, read_statement, List, Site};
+use common::lines::{read_statement, Site};
 use common::{stand_in, Coordinator};
 use standins::ledger::Ledger;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -62,16 +62,6 @@
     std::thread::sleep(time);
 }
 
-/// A site whose engines are these, with its coordinator ready.
-fn site_of(ledger: Arc<Ledger>, engines: Vec<std::net::SocketAddr>, edit: impl Fn(String) -> String) -> Site {
-    let list = List::start();
-    let coordinator = Coordinator::start(&edit(config(list.addr)));
-    let site = Site { ledger, coordinator, list, engines };
-    site.tell(&vec!["ready"; site.engines.len()], "");
-    site.coordinator.wait_until_ready();
-    site
-}
-
 /// What is held at an engine waits here until it is opened.
 #[derive(Default)]
 struct Gate(Mutex<bool>, Condvar);
@@ -96,7 +86,7 @@
         stand_in(move |stream| hold(stream, &n.to_string(), &runs, &gate))
     };
     let engines = (0..engines).map(engine).collect();
-    (site_of(ledger, engines, |config| config), gate)
+    (Site::of(ledger, engines, |config| Coordinator::start(&config)), gate)
 }
 
 /// The same, with the key of [`load`] taken until the gate opens; the load's client stays.
