Log and count retries with their cause, the retry budget's use, and steps of the wall clock

Need: the incident's logs do not say why an attempt was given up, how far the retry budget was used, or that a wall clock had stepped. Each attempt beyond a request's first now has a line with the client's id, the attempt's number, both engines, why the one before ended, and the budget's figures; a connection to an engine that we close under open attempts says why; a wall clock that is set is told with its step. Counters retry_budget_used, retry_budget_allowed, retry_budget_taken, retries_denied, wall_clock_steps, wall_clock_stepped_by_us. The budget is a decision module of its own, fernlink::retry_budget, with the same behaviour; its inline test stands in tests/rules.rs now, with the same figures (100 times held, no query left).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,8 +21,9 @@
 
 pub use book::Counters;
 pub use fernlink::interface::{EngineId, ListKind, Listed, Micros, Note, Outcome, Phase, Pin};
+pub use fernlink::BudgetUsage;
 pub use running::Run;
-pub use send::{AttemptError, Cause, Progress, Told};
+pub use send::{AttemptError, Cause, Progress, Retry, Told};
 pub use take_in::{Ask, Piece, Taken};
 
 use fernlink::interface::{Action, Effect, Event, QueryId, Settings};
@@ -120,6 +121,8 @@
     attempts: Vec<send::Attempt>,
     /// The last engine's words on what went wrong.
     words: Option<Rc<str>>,
+    /// The engine of the attempt that ended last without serving, and why it ended.
+    last_failure: Option<(EngineId, AttemptError)>,
     /// Some of a body that is not kept has been passed on.
     drawn: bool,
     /// It is to be ended: no further attempt.
@@ -220,6 +223,11 @@
         self.open
     }
 
+    /// How far the retry budget is used; `None` where the settings have none.
+    pub fn retry_budget_usage(&self, now: Micros) -> Option<BudgetUsage> {
+        self.controller.retry_budget_usage(now)
+    }
+
     /// The counts so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -145,6 +145,17 @@
     pub memory_mb: Option<f64>,
 }
 
+/// An attempt beyond a request's first, for the log: what it follows.
+#[derive(Debug)]
+pub struct Retry<'a> {
+    /// The client's name for the request.
+    pub call: &'a str,
+    /// The engine of the attempt before it.
+    pub failed_on: EngineId,
+    /// Why that one ended.
+    pub after: &'a AttemptError,
+}
+
 impl Attempt {
     pub fn new(engine: EngineId, sent: Micros, until: Micros) -> Attempt {
         Attempt {
@@ -246,6 +257,13 @@
         }
     }
 
+    /// What an attempt follows; `None` for a request's first.
+    pub fn retry(&self, key: AttemptKey) -> Option<Retry<'_>> {
+        let request = self.requests.get(&key.request).filter(|_| key.number > 0)?;
+        let (failed_on, after) = request.last_failure.as_ref()?;
+        Some(Retry { call: &request.ask.call, failed_on: *failed_on, after })
+    }
+
     /// Memory that an attempt is granted, MB; 0 leaves it to the engine.
     pub fn grant_mb(&self, key: AttemptKey) -> f64 {
         self.made(key).map_or(0.0, |a| a.grant_mb)
@@ -283,6 +301,10 @@
             request.words = Some(words.as_str().into());
         }
         let error = AttemptError { progress, cause };
+        let engine = self.out(key)?.engine;
+        if let Some(request) = self.requests.get_mut(&key.request) {
+            request.last_failure = Some((engine, error.clone()));
+        }
         if self.requests.get(&key.request).is_some_and(|r| r.drawn || r.called_off) {
             self.end_for_good(key.request, error.outcome());
         }
--- a/crates/core/src/take_in.rs
+++ b/crates/core/src/take_in.rs
@@ -120,6 +120,7 @@
             relaying: None,
             attempts: Vec::new(),
             words: None,
+            last_failure: None,
             drawn: false,
             called_off: false,
             grant_mb: 0.0,
--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -3,6 +3,7 @@
 //! from it; among equals with little to drain, table-group sharing with queue neighbours decides.
 
 use crate::interface::*;
+use crate::retry_budget::RetryWindow;
 use crate::state::*;
 use std::collections::BTreeMap;
 
@@ -72,19 +73,20 @@
     pub(crate) learned: Vec<Learned>,
     quotas: Vec<Bucket>,
     peers: BTreeMap<u32, Peer>,
+    pub(crate) retries: RetryWindow,
     pub(crate) tally: Tally,
 }
 
 impl Controller {
     /// A controller that knows nothing but its settings.
     pub fn new(cfg: Settings, seed: u64) -> Self {
-        let (engines, jobs, lanes, peers) = Default::default();
+        let (engines, jobs, lanes, peers, retries) = Default::default();
         let guess = |c: &Class| Learned { work: PRIOR * c.aim as f64 * c.threads, ..Learned::default() };
         let learned = cfg.classes.iter().map(guess).collect();
         let quotas = vec![Bucket::default(); cfg.tenants.len()];
         let share = 1.0 / f64::from(cfg.gateways.max(1));
         let (random, tally) = (Random(seed), Tally { share, pace: 1.0, ..Tally::default() });
-        Controller { cfg, engines, jobs, lanes, random, salt: seed, learned, quotas, peers, tally }
+        Controller { cfg, engines, jobs, lanes, random, salt: seed, learned, quotas, peers, retries, tally }
     }
 
     /// Handles one event; what is to be done is appended to `act`.
@@ -482,14 +484,6 @@
         self.learned[usize::from(class)].work.max(if known { 0.0 } else { c.aim as f64 * c.threads })
     }
 
-    /// Rule 7: whether one more further attempt stays within the budget, counts at the edge read against us.
-    fn budget_left(&mut self, now: Micros) -> bool {
-        let Some(b) = self.cfg.retry_budget else { return true };
-        self.tally.extras.retain(|&t| t + b.window >= now);
-        self.tally.taken.retain(|&t| t + b.window > now);
-        self.tally.extras.len() as f64 + 1.0 <= b.free + b.ratio * self.tally.taken.len() as f64
-    }
-
     /// Puts a query on the queue of the engine of Algorithm 5's choice (Algorithm 7), then starts what may.
     fn route(&mut self, now: Micros, id: QueryId, act: &mut Actions) {
         let Some(o) = self.choose(now, id) else { return self.place(id, Place::Held) };
@@ -545,8 +539,9 @@
         let job = &self.jobs[&id];
         // The time-out is answered before the client gives up.
         act.push(Action::Send(id, engine, job.deadline.saturating_sub(now + margin / 2).max(1)));
-        let further = self.cfg.retry_budget.filter(|_| !job.tries.is_empty());
-        self.tally.extras.extend(further.map(|_| now));
+        if self.cfg.retry_budget.is_some() && !job.tries.is_empty() {
+            self.retries.attempt_made(now);
+        }
         self.record_send(now, id, Try { grant, expected, ..Try::new(engine, now) }, cold);
     }
 
@@ -670,9 +665,8 @@
         if usize::from(query.class) >= self.cfg.classes.len() {
             return act.push(Action::Refuse(query.id, 0));
         }
-        if self.cfg.retry_budget.is_some() {
-            self.tally.taken.push_back(now);
-            self.budget_left(now); // Forgets what is past.
+        if let Some(budget) = self.cfg.retry_budget {
+            self.retries.request_taken(now, &budget);
         }
         let (id, over_quota) = (query.id, self.over_quota(now, query.tenant));
         self.jobs.insert(id, Job { over_quota, ..Job::new(query, now) });
--- a/crates/fernlink/src/lib.rs
+++ b/crates/fernlink/src/lib.rs
@@ -7,14 +7,12 @@
 
 mod choice;
 pub mod interface;
+mod retry_budget;
 mod state;
 
 pub use choice::Controller;
 pub use interface::{Action, Event, Settings};
-
-// The tests' helpers name the crate as users do.
-#[cfg(test)]
-extern crate self as fernlink;
+pub use retry_budget::BudgetUsage;
 
 #[cfg(doctest)]
 #[doc = include_str!("../../../README.md")]
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -281,9 +281,6 @@
     /// Messages and probes that queries taken have paid for.
     pub tells: f64,
     pub probes: f64,
-    /// When queries were taken, and attempts beyond a first made.
-    pub taken: VecDeque<Micros>,
-    pub extras: VecDeque<Micros>,
     pub ticking: bool,
     pub last_tell: Micros,
     pub last_log: Micros,
@@ -566,6 +563,11 @@
         }
     }
 
+    /// Queries that are not over yet.
+    pub fn queries_open(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Attempts out on an engine.
     pub(crate) fn outs<'a>(&'a self, e: &'a Engine) -> impl Iterator<Item = (QueryId, &'a Try)> {
         e.out.iter().filter_map(|(q, n)| Some((*q, self.jobs.get(q)?.tries.get(usize::from(*n))?)))
@@ -668,26 +670,3 @@
         q.key.filter(|_| self.cfg.classes[usize::from(q.class)].in_order)
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/common/mod.rs"]
-mod common;
-
-#[cfg(test)]
-mod tests {
-    use super::common::*;
-    use crate::interface::*;
-
-    #[test]
-    fn what_was_taken_is_forgotten_behind_the_window_without_a_further_attempt() {
-        let mut s = settings(vec![class(9 * S, 1.0, 1.0)]);
-        s.retry_budget = Some(RetryBudget { free: 5.0, ratio: 0.1, window: 10 * S });
-        let mut rig = Rig::new(s, &[listed(1)]);
-        for _ in 0..500 {
-            let (q, _) = rig.arrive(0, 10 * MS, 1);
-            rig.end(q, 0, Outcome::Ok, 10 * MS);
-            rig.now += 100 * MS;
-        }
-        assert_eq!((rig.c.tally.taken.len(), rig.c.jobs.len()), (100, 0));
-    }
-}
--- a/crates/fernlink/tests/rules.rs
+++ b/crates/fernlink/tests/rules.rs
@@ -314,6 +314,20 @@
     assert_eq!(further, 2);
 }
 
+#[test]
+fn what_was_taken_is_forgotten_behind_the_window_without_a_further_attempt() {
+    let mut s = settings(vec![class(9 * S, 1.0, 1.0)]);
+    s.retry_budget = Some(RetryBudget { free: 5.0, ratio: 0.1, window: 10 * S });
+    let mut rig = Rig::new(s, &[listed(1)]);
+    for _ in 0..500 {
+        let (q, _) = rig.arrive(0, 10 * MS, 1);
+        rig.end(q, 0, Outcome::Ok, 10 * MS);
+        rig.now += 100 * MS;
+    }
+    let usage = rig.c.retry_budget_usage(rig.now).expect("a budget");
+    assert_eq!((usage.held, rig.c.queries_open()), (100, 0));
+}
+
 #[test]
 fn discovery_is_asked_for_and_asked_again_after_a_failure() {
     let mut s = settings(vec![class(S, 1.0, 1.0)]);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod backs;
+pub mod clock;
 pub mod config;
 pub mod console;
 pub mod demo;
--- a/crates/node/src/node/counters.rs
+++ b/crates/node/src/node/counters.rs
@@ -25,6 +25,20 @@
         let upgrade = format!("{upgrade}listener_unblocked {}\n", self.unblocked);
         let open = self.core.open();
         let fleet = self.fleet_counters();
-        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}{fleet}")
+        let budget = self.budget_counters();
+        let clock = format!(
+            "wall_clock_steps {}\nwall_clock_stepped_by_us {}\n",
+            self.wall.steps, self.wall.stepped_by
+        );
+        format!("{core}{connections}requests_open {open}\n{bodies}{front}{control}{life}{away}{management}{upgrade}{fleet}{budget}{clock}")
+    }
+
+    /// How far the retry budget is used.
+    fn budget_counters(&self) -> String {
+        let Some(usage) = self.core.retry_budget_usage(self.now) else { return String::new() };
+        format!(
+            "retry_budget_used {}\nretry_budget_allowed {}\nretry_budget_taken {}\nretries_denied {}\n",
+            usage.used, usage.allowed, usage.taken, usage.denied
+        )
     }
 }
--- a/crates/node/src/node/engines/closing.rs
+++ b/crates/node/src/node/engines/closing.rs
@@ -24,9 +24,7 @@
         if let Some(key) = conn.feeding {
             self.feeds.remove(&key.request);
         }
-        if !conn.is_idle() {
-            tracing::debug!(engine = conn.engine.0, ?cause, "connection lost");
-        }
+        self.log_end(&conn, &cause);
         for key in conn.session.open() {
             self.attempt_failed(now, key, cause.clone());
         }
@@ -46,6 +44,21 @@
         self.carry_out();
     }
 
+    /// Why a connection to an engine ended that something was out on.
+    fn log_end(&self, conn: &EngineConn, cause: &Cause) {
+        if conn.is_idle() {
+            return;
+        }
+        let engine = self.roster.name(conn.engine);
+        let (open, waiting) = (conn.session.load(), conn.waiting.len());
+        match cause {
+            Cause::Closed(why) if open > 0 => {
+                tracing::info!(engine, open, waiting, why, "connection to an engine closed");
+            }
+            _ => tracing::debug!(engine, open, waiting, ?cause, "connection to an engine lost"),
+        }
+    }
+
     /// Old connections of an engine lead to an earlier process, or elsewhere.
     pub(in crate::node) fn retire(&mut self, engine: EngineId) {
         for conn in self.engines.values_mut().filter(|c| c.engine == engine) {
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -11,20 +11,20 @@
 
 pub use self::fleet::read_keys;
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
+use crate::clock::{unix_now, Step, StepWatch};
 use crate::config::{Config, Wire};
 use crate::fronts::clickhouse::ClickHouse;
 use crate::fronts::{platform::Platform, After, Front};
 use crate::handover::Post;
 use crate::members::backoff::{Backoff, Broken};
 use crate::members::read;
-use crate::net::unix_now;
 use crate::service::End;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use driftfront_core::lifecycle::Lifecycle;
-use driftfront_core::{Command, Core, EngineId, ListKind, Micros, Phase, RequestId};
+use driftfront_core::{AttemptKey, Command, Core, EngineId, ListKind, Micros, Phase, RequestId};
 use driftfront_roster::{Change, Roster};
 use driftfront_settings::json::Json;
 use fernlink::interface::Effect;
@@ -46,6 +46,7 @@
     config: Config,
     handle: LoopHandle<'static, Node>,
     now: Micros,
+    wall: StepWatch,
     last_conn: ConnId,
     front: Box<dyn Front>,
     /// `None` once the process leaves for good.
@@ -128,6 +129,7 @@
             core: Core::new(config.settings.clone(), config.limits, config.seed),
             handle: events.handle(),
             now,
+            wall: StepWatch::start(),
             last_conn: 0,
             front,
             listener: Some(Rc::new(listener)),
@@ -299,6 +301,7 @@
         self.carry_out();
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP;
+            self.watch_wall_clock();
             self.accept(now);
             self.sweep_clients(now);
             self.sweep_engines(now);
@@ -313,6 +316,14 @@
         }
     }
 
+    /// Tells of a wall clock that was set: the log's stamps jump by that.
+    fn watch_wall_clock(&mut self) {
+        if let Some(Step(by)) = self.wall.look() {
+            let seconds = by as f64 / 1e6;
+            tracing::warn!(seconds, open = self.core.open(), "the wall clock was set");
+        }
+    }
+
     fn may_end(&mut self) -> bool {
         let writing = self.clients.values().any(|c| c.is_writing());
         let ends = self.life.may_end(self.now, self.core.open(), self.clients.len(), writing);
@@ -378,7 +389,10 @@
         while let Some(command) = self.core.command() {
             let now = self.now;
             match command {
-                Command::Send(key, engine) => self.send(now, key, engine, 0),
+                Command::Send(key, engine) => {
+                    self.log_retry(now, key, engine);
+                    self.send(now, key, engine, 0);
+                }
                 Command::Abandon(key, engine) => self.abandon(now, key, engine),
                 Command::Probe(engine, tag) => self.probe(now, engine, tag),
                 Command::Forget(engine) => self.forget(now, engine),
@@ -415,6 +429,23 @@
         self.carrying = false;
     }
 
+    /// A line for each attempt beyond a request's first: the retry budget bounds their number.
+    fn log_retry(&self, now: Micros, key: AttemptKey, engine: EngineId) {
+        let Some(retry) = self.core.retry(key) else { return };
+        let name = |engine| self.roster.name(engine).unwrap_or("gone");
+        let usage = self.core.retry_budget_usage(now).unwrap_or_default();
+        tracing::info!(
+            call = retry.call,
+            attempt = key.number,
+            engine = name(engine),
+            failed_on = name(retry.failed_on),
+            after = %retry.after,
+            used = usage.used,
+            allowed = usage.allowed,
+            "retry"
+        );
+    }
+
     /// How often a class's requests may run.
     fn effect(&self, class: u16) -> Option<Effect> {
         self.config.settings.classes.get(usize::from(class)).map(|c| c.effect)
