--- /dev/null
+++ b/crates/node/tests/retry_budget.rs
@@ -0,0 +1,86 @@
+//! The retry budget where attempts are held up between their choice and their first byte: it counts what goes out.
+
+mod common;
+
+use common::lines::{config, engines, instances, List, Site};
+use common::Coordinator;
+use socket2::{Domain, Socket, Type};
+use standins::ledger::{Budget, Ledger};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// An engine whose connections come up late: its queue of connections is full until it is opened.
+struct LateEngine {
+    addr: SocketAddr,
+    listener: TcpListener,
+    filling: Vec<TcpStream>,
+}
+
+impl LateEngine {
+    fn new() -> LateEngine {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        socket.bind(&any.into()).expect("a port");
+        socket.listen(0).expect("it listens");
+        let listener: TcpListener = socket.into();
+        let addr = listener.local_addr().expect("an address");
+        let short = Duration::from_millis(100);
+        let mut filling = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&addr, short) {
+            filling.push(stream);
+        }
+        LateEngine { addr, listener, filling }
+    }
+
+    /// From now on it takes connections, and serves as engine `number` does.
+    fn open(self, number: usize, ledger: &Arc<Ledger>) {
+        drop(self.filling);
+        let ledger = ledger.clone();
+        std::thread::spawn(move || {
+            for stream in self.listener.incoming().flatten() {
+                let ledger = ledger.clone();
+                std::thread::spawn(move || common::lines::serve(stream, number, &ledger));
+            }
+        });
+    }
+}
+
+#[test]
+fn retries_held_up_by_connections_that_come_up_late_stay_within_the_budget_as_they_go_out() {
+    let budget = Budget { free: 3.0, ratio: 0.0, window: Duration::from_millis(500) };
+    let ledger = Arc::new(Ledger::default());
+    let (well, late) = (engines(1, &ledger), LateEngine::new());
+    let list = List::start();
+    let text = config(list.addr)
+        .replace("\"MinExtra\": 5.0", "\"MinExtra\": 3.0")
+        .replace("\"FurtherRatio\": 0.1", "\"FurtherRatio\": 0.0")
+        .replace("\"ExtraWindowUs\": 10000000", "\"ExtraWindowUs\": 500000")
+        .replace("\"ConnectTimeoutUs\": 250000", "\"ConnectTimeoutUs\": 20000000");
+    let addrs = vec![well[0], late.addr];
+    let site = Site { ledger, coordinator: Coordinator::start(&text), list, engines: addrs };
+    site.list.tell(&instances(&site.engines, &["ready", "ready"]), "");
+    site.coordinator.wait_until_ready();
+    // Each errs on the engine that is well, and its further attempt waits for the other one: three in each of five windows.
+    let begin = Instant::now();
+    let site = Arc::new(site);
+    let mut clients = Vec::new();
+    for window in 0..5u32 {
+        for n in 0..6 {
+            let site = site.clone();
+            clients.push(std::thread::spawn(move || {
+                site.ask("report", 14_000, &format!("SELECT fault {window} {n}"))
+            }));
+        }
+        std::thread::sleep(
+            (budget.window * (window + 1) + Duration::from_millis(50)).saturating_sub(begin.elapsed()),
+        );
+    }
+    late.open(1, &site.ledger);
+    for client in clients {
+        let answer = client.join().expect("an answer");
+        assert!(matches!(answer.status, 200 | 429), "{}", answer.status);
+    }
+    let breaches = site.ledger.budget_breaches(&budget, &[]);
+    assert!(breaches.is_empty(), "{breaches:#?}");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod net;
 pub mod process;
 pub mod tcp;
+pub mod wall_clock;
 
 pub use driftfront_control::snapshot::{Agreed, Member};
 pub use driftfront_control::Request;
