Every span is kept on the monotonic clock: a wall clock that is set breaks no budget

Node::clock was the wall clock, held so that it never ran backwards. A step forward aged everything at once: the retry budget forgot further attempts that were seconds old, and what was out timed out. A step back stopped all timers until the clock had caught up, and let the requests of minutes count as one window. The program's time is now the wall clock at the start plus monotonic time since; clock.rs alone reads the wall clock, and clippy.toml bars its readers elsewhere. Events are stamped for people by the wall clock as it is. The same class on related paths: (1) a start told in Unix time (startedAtMs) by a host whose clock is an hour ahead made a new engine warm, one behind kept it cold for an hour: fernlink::slow_start; (2) of two processes in an upgrade with a step between their starts the later order lost against the earlier one: an order's time is behind the last one known; (3) a roll's waits are counted anew after a restart.

--- a/crates/fernlink/src/lib.rs
+++ b/crates/fernlink/src/lib.rs
@@ -8,6 +8,7 @@
 mod choice;
 pub mod interface;
 mod retry_budget;
+mod slow_start;
 mod state;
 
 pub use choice::Controller;
--- a/crates/fernlink/src/retry_budget.rs
+++ b/crates/fernlink/src/retry_budget.rs
@@ -8,6 +8,10 @@
 use crate::Controller;
 use std::collections::VecDeque;
 
+/// Who counts from outside sees an attempt, or a request, a moment earlier or later than this host: so much at the window's edge
+/// counts against the budget.
+const EDGE: Micros = 20_000;
+
 /// How far the budget is used, for logs and counters.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BudgetUsage {
@@ -68,10 +72,10 @@
         budget.free + budget.ratio * self.taken.len() as f64
     }
 
-    /// Drops what is behind the window. What is just at its edge counts against the budget on both sides.
+    /// Drops what is behind the window.
     fn forget(&mut self, now: Micros, budget: &RetryBudget) {
-        self.further.retain(|&t| t + budget.window >= now);
-        self.taken.retain(|&t| t + budget.window > now);
+        self.further.retain(|&t| t + budget.window + EDGE >= now);
+        self.taken.retain(|&t| t + budget.window > now + EDGE);
     }
 }
 
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::choice::Controller;
 use crate::interface::*;
+use crate::slow_start::believed_start;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A small seeded generator (splitmix64).
@@ -490,11 +491,14 @@
                 // Somebody there started anew: the zone is no longer lost as a whole.
                 self.tally.lost.remove(&l.zone);
             }
-            let e = self.engines.entry(l.engine).or_insert_with(|| Engine::new(l, now));
+            let is_news = self.engines.get(&l.engine).is_none_or(|e| e.listed_born != l.born);
+            let born = l.born.map(|told| believed_start(now, kind, told, is_news));
+            let e = self.engines.entry(l.engine).or_insert_with(|| Engine { born, ..Engine::new(l, now) });
             (e.zone, e.kind, e.cell, e.phase) = (l.zone, l.kind, l.cell, l.phase);
             if e.listed_born != l.born {
                 let (queue, out) = (std::mem::take(&mut e.queue), std::mem::take(&mut e.out));
-                *e = Engine { queue, out, threads: e.threads, granted: e.granted, ..Engine::new(l, now) };
+                let (threads, granted) = (e.threads, e.granted);
+                *e = Engine { queue, out, threads, granted, born, ..Engine::new(l, now) };
             }
         }
         let named: BTreeSet<EngineId> = list.iter().map(|l| l.engine).collect();
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,7 +1,9 @@
-//! The wall clock, watched for steps.
+//! The program's time, and the wall clock beside it.
 //!
-//! Operators and time daemons set the wall clock while the program runs. A step is told in the log and counted, so that what a
-//! log's stamps jump by can be told from time that passed.
+//! Operators and time daemons set the wall clock while the program runs, by seconds or an hour, forwards or back. So every span
+//! (deadline, window, wait, grace, retry budget) is kept on the monotonic clock, as [`Clock`] tells it. The wall clock is read
+//! here alone: once at the start, so that the program's time agrees with the Unix times that others tell (`startedAtMs`), and
+//! from then on for words to people only. A step is told in the log and counted.
 
 use driftfront_core::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -10,8 +12,30 @@
 /// second, and a look comes every 25 ms; a process that stands still between its two readings adds what it stood still.
 const STEP_LEAST: i64 = 50_000;
 
+/// The program's time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    began: Instant,
+    /// The wall clock at the start.
+    base: Micros,
+}
+
+impl Clock {
+    /// Begins to run, at what the wall clock says.
+    pub fn start() -> Clock {
+        Clock { began: Instant::now(), base: unix_now() }
+    }
+
+    /// Microseconds since the Unix epoch, as the wall clock would say had nobody set it since the start. Never runs backwards
+    /// and never jumps.
+    pub fn now(&self) -> Micros {
+        self.base + self.began.elapsed().as_micros() as Micros
+    }
+}
+
 /// Microseconds since the Unix epoch, as the system's wall clock says now.
-pub fn unix_now() -> Micros {
+#[allow(clippy::disallowed_methods)]
+fn unix_now() -> Micros {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
 }
 
--- a/crates/node/src/node/control/mod.rs
+++ b/crates/node/src/node/control/mod.rs
@@ -182,7 +182,8 @@
                     Record::Roll { roll } => Some(roll.clone()),
                     _ => None,
                 })
-                .flatten();
+                .flatten()
+                .map(|roll: Roll| roll.restarted(now));
             control.state = Some(state);
             let change = self.roster.restore(records);
             self.control = Some(control);
@@ -214,6 +215,7 @@
 
     /// Something that operators should know has happened.
     pub(super) fn event(&mut self, now: Micros, words: String) {
+        let at = self.wall_time(now);
         let Some(control) = &mut self.control else { return };
         tracing::info!("{words}");
         // What was told before is old now.
@@ -221,11 +223,11 @@
         if control.events.len() == EVENTS_MOST {
             control.events.pop_front();
         }
-        control.events.push_back((now, words.clone()));
+        control.events.push_back((at, words.clone()));
         let told: Vec<(ConnId, u64)> =
             control.operators.iter().filter_map(|(&id, o)| Some((id, o.events?))).collect();
         for (conn, id) in told {
-            self.tell_operator(conn, &Reply::Event(now, words.clone()).line(id));
+            self.tell_operator(conn, &Reply::Event(at, words.clone()).line(id));
         }
     }
 
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::fleet::read_keys;
 use crate::backs::{clickhouse::Http, lines::Lines, Session};
-use crate::clock::{unix_now, Step, StepWatch};
+use crate::clock::{Clock, Step, StepWatch};
 use crate::config::{Config, Wire};
 use crate::fronts::clickhouse::ClickHouse;
 use crate::fronts::{platform::Platform, After, Front};
@@ -45,6 +45,8 @@
     core: Core,
     config: Config,
     handle: LoopHandle<'static, Node>,
+    clock: Clock,
+    /// The time at the last look.
     now: Micros,
     wall: StepWatch,
     last_conn: ConnId,
@@ -121,13 +123,15 @@
             Wire::Platform => Box::new(Platform { classes, tenants: config.tenants.clone() }),
             Wire::ClickHouse => Box::new(ClickHouse::new(classes, config.clickhouse, config.seed)),
         };
-        let now = unix_now();
+        let clock = Clock::start();
+        let now = clock.now();
         let longest = config.classes.patience.iter().copied().max().unwrap_or(0);
         // An operator's service manager has rules of its own.
         let killed = config.wire == Wire::Platform;
         let mut node = Node {
             core: Core::new(config.settings.clone(), config.limits, config.seed),
             handle: events.handle(),
+            clock,
             now,
             wall: StepWatch::start(),
             last_conn: 0,
@@ -216,11 +220,15 @@
     }
 
     fn clock(&mut self) -> Micros {
-        // The system's clock may be set back; time here never runs backwards.
-        self.now = self.now.max(unix_now());
+        self.now = self.clock.now();
         self.now
     }
 
+    /// A time of the program's as people read it off the wall clock now.
+    fn wall_time(&self, time: Micros) -> Micros {
+        time.saturating_add_signed(self.wall.stepped_by)
+    }
+
     fn conn_id(&mut self) -> ConnId {
         self.last_conn += 1;
         self.last_conn
--- a/crates/node/tests/clocks/main.rs
+++ b/crates/node/tests/clocks/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod budget;
+mod spans;
 
 use common::lines::Site;
 use common::Coordinator;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -131,6 +131,11 @@
         reply
     }
 
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        self.log.lock().expect("the log").clone()
+    }
+
     /// Asks it to end as the platform does.
     pub fn terminate(&self) {
         self.signal("-TERM");
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -469,8 +469,9 @@
                         return Err(Refusal::Already(format!("{engine} is not drained by an operator")));
                     }
                 }
+                let at = self.after_last_order(now, &engine);
                 self.orders.remove(&engine);
-                self.lift(now, &engine);
+                self.lift(at, &engine);
                 records.push(Record::Lifted { engine });
             }
             Command::Add { fact } => {
@@ -488,8 +489,9 @@
                     records.push(Record::Added { fact });
                 }
                 if removed {
+                    let at = self.after_last_order(now, &engine);
                     self.orders.remove(&engine);
-                    self.lift(now, &engine);
+                    self.lift(at, &engine);
                     records.push(Record::Lifted { engine });
                 }
             }
@@ -522,7 +524,8 @@
         if self.orders.len() >= ORDERS_MOST && !self.orders.contains_key(engine) {
             return Err(Refusal::TooMany);
         }
-        let standing = Standing { order, since: now, by: by.into() };
+        let since = self.after_last_order(now, engine);
+        let standing = Standing { order, since, by: by.into() };
         records.push(record::Record::Ordered { engine: engine.into(), standing: standing.clone() });
         self.orders.insert(engine.into(), standing);
         Ok(())
@@ -584,6 +587,12 @@
         self.orders.get(engine).map(|s| s.since).max(self.lifted.get(engine).copied())
     }
 
+    /// The time of a new order about an engine: behind the last one that is known, though another process gave that by a clock
+    /// which is ahead of this one's.
+    fn after_last_order(&self, now: Micros, engine: &str) -> Micros {
+        self.last_order(engine).map_or(now, |last| now.max(last + 1))
+    }
+
     /// An order about an engine is over.
     fn lift(&mut self, now: Micros, engine: &str) {
         if self.lifted.len() >= LIFTED_MOST && !self.lifted.contains_key(engine) {
--- a/crates/roster/src/roll.rs
+++ b/crates/roster/src/roll.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// The same in a new process, whose clock has nothing to do with the last one's: what the stage waits for is waited for anew.
+    pub fn restarted(self, now: Micros) -> Roll {
+        Roll { since: now, ..self }
+    }
+
     /// The engine at hand.
     pub fn current(&self) -> Option<&str> {
         self.left.first().map(String::as_str)
