Budgets count an attempt at its first byte, and are asked about right there

What was held up by connections that come up late, or by a process that stood still, went out in a later window together with that window's own: 9 further attempts within 0.5 s where 3 are allowed. A planned attempt now takes its part at once, whatever the window, until its first byte goes out, and is asked about once more right there (Controller::may_go_out, from Core::may_write); where the budget was used up meanwhile it is withheld and answered as far as it has come. What ends without a byte out gives its part back. The same class in slow start: what a cold engine is sent counts from its first byte, too. Slow start's decisions stand in fernlink::slow_start by themselves.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -168,7 +168,7 @@
             leaves: false,
             unheard: unheard::Unheard::new(&settings, limits.tells_each),
             tokens: idempotency::IdempotencyKeys::new(&settings, limits.tokens),
-            controller: Controller::new(settings, seed),
+            controller: Controller::new(settings, seed).awaiting_first_bytes(),
             limits,
             requests: BTreeMap::new(),
             names: BTreeMap::new(),
--- a/crates/core/src/send.rs
+++ b/crates/core/src/send.rs
@@ -215,7 +215,8 @@
     }
 
     /// Asked right before an attempt's first byte: how long it may take, or `None` if it must not go.
-    /// The engine may have begun to drain, or the time run out, while the connection came up.
+    /// The engine may have begun to drain, the time run out, or a budget been used up by what went out meanwhile, while the
+    /// connection came up.
     pub fn may_write(&mut self, now: Micros, key: AttemptKey) -> Option<Micros> {
         let closed = self.requests.get(&key.request).is_none_or(|r| r.closed || r.called_off);
         let attempt = self.out(key)?;
@@ -224,7 +225,8 @@
         let request = self.requests.get(&key.request)?;
         let (class, token, deadline) = (request.ask.class, request.ask.token.clone(), request.deadline);
         let known = self.tokens.good_until(class, token.as_ref()).is_none_or(|t| now < t);
-        if ready && left > 0 && !closed && known {
+        let may_go = ready && left > 0 && !closed && known;
+        if may_go && self.controller.may_go_out(now, query(key.request), key.number) {
             if let Some(token) = token {
                 self.tokens.written(now, class, &token, key, deadline);
             }
--- a/crates/fernlink/src/choice.rs
+++ b/crates/fernlink/src/choice.rs
@@ -31,8 +31,6 @@
 const MOSTLY: f64 = 0.5; // An engine on trial stays so while more of its last answers than this were errors.
 const LOST: usize = 2; // Engines of a zone lost with no word from any there: the zone is, until one answers.
 const ERRORS: usize = 2; // Engines that answer a query with an error before the fault is taken for its own.
-const COLD_CARE: f64 = 0.7; // Part of the cold budget used: the rule weighs by usual work, not by ours.
-const CAPACITY: f64 = 0.85; // Capacity is where cores are this busy (the cold rule's own definition).
 const ANSWER_MARGIN: Micros = 10_000; // Final answers leave this long, and two ticks, to the client.
 const TICK: Micros = 50_000; // housekeeping: health, overruns, slipped starts
 const TELL_EVERY: Micros = 1_000_000; // Peers are told this often; after three periods unheard, halved.
@@ -47,9 +45,6 @@
 const DRAWN: usize = 2; // Engines drawn at random where many choose from stale views: two break the herd.
 const CIRCLE: usize = 10; // Engines a sliver draws from: few, so that connections and beliefs last.
 const HOMES: usize = 2; // Engines where, by common reckoning, a table group's queries meet: few stay warm.
-const RUSH: f64 = 1.5; // The most demand a cold engine's chance counts with, as a multiple of capacity.
-const COLD_WHOLE: f64 = 0.125; // Queries above this part of a cold window have less chance: they scatter.
-const COLD_LEAST: f64 = 0.5; // At least this part of all work counts as fit for cold engines.
 const LOOK_AGAIN: usize = 12; // Queued queries looked at again per tick, so that cost stays bounded.
 const SLIP: f64 = 150_000.0; // A start later by this much than estimated has slipped.
 const ADVICE: Micros = 100_000; // Shortest retry advice.
@@ -69,11 +64,13 @@
     pub(crate) jobs: BTreeMap<QueryId, Job>,
     pub(crate) lanes: BTreeMap<u64, Lane>,
     random: Random,
-    salt: u64,
+    pub(crate) salt: u64,
     pub(crate) learned: Vec<Learned>,
     quotas: Vec<Bucket>,
     peers: BTreeMap<u32, Peer>,
     pub(crate) retries: RetryWindow,
+    /// The host asks right before each attempt's first byte.
+    pub(crate) awaits_first_bytes: bool,
     pub(crate) tally: Tally,
 }
 
@@ -86,7 +83,21 @@
         let quotas = vec![Bucket::default(); cfg.tenants.len()];
         let share = 1.0 / f64::from(cfg.gateways.max(1));
         let (random, tally) = (Random(seed), Tally { share, pace: 1.0, ..Tally::default() });
-        Controller { cfg, engines, jobs, lanes, random, salt: seed, learned, quotas, peers, retries, tally }
+        let awaits_first_bytes = false;
+        Controller {
+            cfg,
+            engines,
+            jobs,
+            lanes,
+            random,
+            salt: seed,
+            learned,
+            quotas,
+            peers,
+            retries,
+            awaits_first_bytes,
+            tally,
+        }
     }
 
     /// Handles one event; what is to be done is appended to `act`.
@@ -155,18 +166,11 @@
         (!self.sliver() && all - own < ALONE * own * others).then_some(own / all)
     }
 
-    fn cores(&self, e: &Engine) -> f64 {
+    pub(crate) fn cores(&self, e: &Engine) -> f64 {
         let known = self.cfg.kinds.get(usize::from(e.kind)).and_then(|k| k.cores);
         known.or_else(|| self.cfg.kinds.iter().find_map(|k| k.cores)).unwrap_or(CORES)
     }
 
-    /// Share of its capacity that a young engine can be counted on for; 1 once warm.
-    fn warmth(&self, now: Micros, e: &Engine) -> f64 {
-        let (Some(cold), Some(born)) = (self.cfg.cold, e.born) else { return 1.0 };
-        let age = now.saturating_sub(born) as f64 / cold.warm_after.max(1) as f64;
-        cold.from + (1.0 - cold.from) * (2.0 * age - 1.0).clamp(0.0, 1.0)
-    }
-
     fn fresh<'a>(&self, now: Micros, e: &'a Engine) -> Option<&'a Report> {
         e.report.as_ref().filter(|r| now < r.at + REPORT_LIFE)
     }
@@ -191,7 +195,7 @@
     }
 
     /// Whether this gateway's part of an engine is under one thread: then it counts over the whole fleet.
-    fn sliver(&self) -> bool {
+    pub(crate) fn sliver(&self) -> bool {
         let cores = self.cfg.kinds.iter().filter_map(|k| k.cores).reduce(f64::max).unwrap_or(CORES);
         cores * BOUND_THREADS < f64::from(self.cfg.gateways)
     }
@@ -392,7 +396,7 @@
     }
 
     /// Chance to be drawn: by cores and believed pace, as a mean run fits most aims even on a slow engine.
-    fn weight(&self, e: &Engine) -> f64 {
+    pub(crate) fn weight(&self, e: &Engine) -> f64 {
         self.cores(e) / (e.slow / self.tally.pace).max(0.5).powi(2)
     }
 
@@ -457,33 +461,6 @@
         clean || self.effect(id) == Effect::Safe || keyed
     }
 
-    /// Rule 4: our n-th of what a cold engine may be sent in any window. Against crowds on engines just
-    /// started; also covers those that answer again after failing, which may have restarted unannounced.
-    fn cold_room(&self, now: Micros, id: QueryId, e: &Engine) -> bool {
-        let (Some(cold), true) = (self.cfg.cold, self.warmth(now, e) < 1.0) else { return true };
-        let recent: f64 = e.cold_sends.iter().filter(|s| s.0 + cold.window > now).map(|s| s.1).sum();
-        let capacity = self.cores(e) * CAPACITY * self.warmth(now, e) * cold.window as f64;
-        let (whole, weight) = (COLD_CARE * cold.multiple * capacity, self.cold_weight(id));
-        if !self.sliver() {
-            return recent + weight <= whole / f64::from(self.cfg.gateways.max(1));
-        }
-        // A sliver is under one query: each has a chance, all fill the budget; small ones have what is left.
-        let fit = |work: f64| (COLD_WHOLE * whole / work).min(1.0).powi(3);
-        let fits = self.mean(|c| self.learned[c].work * fit(self.learned[c].work)) / self.mean_work();
-        let fit = fit(weight) / fits.max(COLD_LEAST) * (self.weight(e) / self.cores(e)).min(1.0);
-        let chance = fit * whole / (self.tally.cores * CAPACITY * RUSH * cold.window as f64);
-        let draw = Random(self.salt ^ id.0 ^ e.born.unwrap_or(0) ^ ((now / cold.window.max(1)) << 40))
-            .below(1 << 20);
-        recent <= COLD_WHOLE * whole && weight <= whole / 2.0 && (draw as f64) < chance * (1 << 20) as f64
-    }
-
-    /// The rule weighs a query by its class's usual work; before any was seen, by all of its aim.
-    fn cold_weight(&self, id: QueryId) -> f64 {
-        let (class, c) = (self.jobs[&id].query.class, self.class(id));
-        let known = self.learned[usize::from(class)].seen >= 5.0;
-        self.learned[usize::from(class)].work.max(if known { 0.0 } else { c.aim as f64 * c.threads })
-    }
-
     /// Puts a query on the queue of the engine of Algorithm 5's choice (Algorithm 7), then starts what may.
     fn route(&mut self, now: Micros, id: QueryId, act: &mut Actions) {
         let Some(o) = self.choose(now, id) else { return self.place(id, Place::Held) };
@@ -539,8 +516,8 @@
         let job = &self.jobs[&id];
         // The time-out is answered before the client gives up.
         act.push(Action::Send(id, engine, job.deadline.saturating_sub(now + margin / 2).max(1)));
-        if self.cfg.retry_budget.is_some() && !job.tries.is_empty() {
-            self.retries.attempt_made(now);
+        if !job.tries.is_empty() {
+            self.plan_further(now, id, job.tries.len() as u8);
         }
         self.record_send(now, id, Try { grant, expected, ..Try::new(engine, now) }, cold);
     }
--- a/crates/fernlink/src/state.rs
+++ b/crates/fernlink/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::choice::Controller;
 use crate::interface::*;
-use crate::slow_start::believed_start;
+use crate::slow_start::{believed_start, ColdSends};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A small seeded generator (splitmix64).
@@ -156,7 +156,7 @@
     pub lost: bool,
     pub probed: Micros,
     /// Work sent while it was cold.
-    pub cold_sends: VecDeque<(Micros, f64)>,
+    pub cold_sends: ColdSends,
 }
 
 /// A place in an engine's queue, with what routing reads over and over.
@@ -400,7 +400,7 @@
             on_trial: false,
             lost: false,
             probed: 0,
-            cold_sends: VecDeque::new(),
+            cold_sends: ColdSends::default(),
         }
     }
 }
@@ -527,8 +527,11 @@
         if e.out.len() == 1 {
             e.heard = e.heard.max(now);
         }
-        e.cold_sends.retain(|s| s.0 + window >= now);
-        e.cold_sends.extend(cold.map(|weight| (now, weight)));
+        e.cold_sends.forget_before(now.saturating_sub(window));
+        if let Some(weight) = cold {
+            let at = (!self.awaits_first_bytes).then_some(now);
+            e.cold_sends.plan(id, job.tries.len() as u8, weight, at);
+        }
         e.threads += threads;
         e.granted += t.grant;
         self.tally.running += threads;
@@ -542,10 +545,12 @@
         let job = self.jobs.get_mut(&end.query)?;
         let t = job.tries.get_mut(usize::from(end.attempt)).filter(|t| t.outcome.is_none())?;
         t.outcome = Some(end.outcome);
+        self.retries.ended(end.query, end.attempt);
         let threads = self.cfg.classes[usize::from(job.query.class)].threads;
         self.tally.running = (self.tally.running - threads).max(0.0);
         if let Some(e) = self.engines.get_mut(&t.engine) {
             e.out.remove(&(end.query, end.attempt));
+            e.cold_sends.ended(end.query, end.attempt);
             let empty = e.out.is_empty();
             e.threads = if empty { 0.0 } else { e.threads - threads };
             e.granted = if empty { 0.0 } else { e.granted - t.grant };
