A seeded soak of restarts over processes: clocks that are set, signals in series, crowds, engines that fail

Counted from outside: lost, late, duplicate, drain, retry budget, crash, killed. A test plays six seeds.

--- /dev/null
+++ b/crates/node/tests/soak.rs
@@ -0,0 +1,27 @@
+//! A short soak of restarts, seeded: `driftfront-rig --soak` plays more of them.
+
+use driftfront_rig::soak;
+use std::path::Path;
+
+/// Seeds with clocks that are set, signals in series and a crowd among them.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+/// Soaks at once: each starts two or three processes.
+const AT_ONCE: usize = 2;
+
+#[test]
+fn no_rule_is_broken_through_restarts_clocks_that_are_set_and_engines_that_fail() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_driftfront"));
+    let seeds: Vec<u64> = SEEDS.collect();
+    std::thread::scope(|scope| {
+        for part in seeds.chunks(seeds.len().div_ceil(AT_ONCE)) {
+            scope.spawn(|| part.iter().for_each(|&seed| play(binary, seed)));
+        }
+    });
+}
+
+fn play(binary: &Path, seed: u64) {
+    let report = soak::play(binary, seed);
+    let logs: String = report.logs.iter().map(|(process, log)| format!("{process:?} said\n{log}")).collect();
+    assert!(report.breaches.is_empty(), "seed {seed}: {report}\n{logs}");
+    assert!(report.asked > 0 && report.further > 0, "seed {seed} shows nothing: {report}");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod net;
 pub mod process;
+pub mod soak;
 pub mod tcp;
 pub mod wall_clock;
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -16,6 +16,8 @@
 driftfront-rig --binary PATH --holds [--members N] [--voters N] [--keeps] [--runs K] [--seed N] [--last PATH]
     storms over processes that operators ask for holds: whether one was ever held twice; with --last those that
     do not vote are of that build
+driftfront-rig --binary PATH --soak [--runs K] [--seed N] [--at-once N]
+    soaks of restarts on the platform's wire, with clocks that are set and engines that hang; broken rules by seed
 driftfront-rig --binary PATH [--members N] [--runs K] [--seed N]
     each run starts N processes, draws a storm by its seed and plays it; a run that does not come to one view is named";
 
@@ -54,6 +56,40 @@
     );
 }
 
+/// Soaks of restarts, some at once; each broken rule with its seed.
+fn soaks(args: &[String], binary: &str) -> ExitCode {
+    let number =
+        |name: &str, otherwise: u64| value(args, name).and_then(|v| v.parse().ok()).unwrap_or(otherwise);
+    let (first, runs) = (number("--seed", 1), number("--runs", 1));
+    let next = AtomicU64::new(first);
+    let broken = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..number("--at-once", 2) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= first + runs {
+                    return;
+                }
+                let report = driftfront_rig::soak::play(std::path::Path::new(binary), seed);
+                println!("seed {seed}: {report}");
+                if !report.breaches.is_empty() {
+                    for (process, log) in &report.logs {
+                        println!("seed {seed}: process {process:?} said\n{log}");
+                    }
+                    broken.lock().expect("the seeds").push(seed);
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner().expect("the seeds");
+    println!("{runs} soaks, rules broken in {}: {broken:?}", broken.len());
+    if broken.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 /// How long clients wait for an answer that needs nothing, by turns in a fleet and alone.
 fn pauses(binary: &str, seconds: u64) {
     let mut waits: [Vec<u64>; 2] = Default::default();
@@ -249,6 +285,9 @@
     let number =
         |name: &str, otherwise: u64| value(&args, name).and_then(|v| v.parse().ok()).unwrap_or(otherwise);
     let (members, runs, first) = (number("--members", 5) as u32, number("--runs", 3), number("--seed", 1));
+    if args.iter().any(|a| a == "--soak") {
+        return soaks(&args, &binary);
+    }
     if args.iter().any(|a| a == "--holds") {
         return holds(&args, &binary);
     }
--- a/crates/standins/src/ledger.rs
+++ b/crates/standins/src/ledger.rs
@@ -192,7 +192,12 @@
     /// Counts the retry budget as operators do, at each further attempt over the window that ends there, with their slack of 15
     /// in 100 and one attempt: each attempt that goes beyond it, in words. `taken`: when requests were handed in.
     pub fn budget_breaches(&self, budget: &Budget, taken: &[Instant]) -> Vec<String> {
-        let entries = self.with(|e| e.clone());
+        self.budget_breaches_of("", budget, taken)
+    }
+
+    /// The same of those alone whose statement holds this text.
+    pub fn budget_breaches_of(&self, text: &str, budget: &Budget, taken: &[Instant]) -> Vec<String> {
+        let entries = self.of(text);
         let mut seen = BTreeSet::new();
         let further: Vec<&Entry> = entries.iter().filter(|e| !seen.insert(&e.statement)).collect();
         let mut breaches = Vec::new();
