--- a/crates/fernlink/src/slow_start.rs
+++ b/crates/fernlink/src/slow_start.rs
@@ -6,8 +6,7 @@
 //! warm-up; within any window of the settings' length a cold engine gets no more than this gateway's part of its budget, counted
 //! as attempts go out.
 
-use crate::interface::ColdStart;
-use crate::interface::{ListKind, Micros, QueryId};
+use crate::interface::{ColdStart, ListKind, Micros, QueryId};
 use crate::state::{Engine, Random};
 use crate::Controller;
 use std::collections::VecDeque;
--- a/crates/node/src/node/counters.rs
+++ b/crates/node/src/node/counters.rs
@@ -37,7 +37,7 @@
     fn budget_counters(&self) -> String {
         let Some(usage) = self.core.retry_budget_usage(self.now) else { return String::new() };
         format!(
-            "retry_budget_used {}\nretry_budget_allowed {}\nretry_budget_taken {}\nretries_denied {}\n\
+            "retry_budget_used {}\nretry_budget_allowed {:.1}\nretry_budget_taken {}\nretries_denied {}\n\
              retries_withheld {}\n",
             usage.used, usage.allowed, usage.taken, usage.denied, usage.withheld
         )
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -449,7 +449,7 @@
             failed_on = name(retry.failed_on),
             after = %retry.after,
             used = usage.used,
-            allowed = usage.allowed,
+            allowed = %format_args!("{:.1}", usage.allowed),
             "retry"
         );
     }
--- a/crates/rig/src/soak/client.rs
+++ b/crates/rig/src/soak/client.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -77,7 +77,6 @@
     /// They ask until the plan's end.
     pub fn start(plan: &Plan, targets: &[Target]) -> Clients {
         let number = Arc::new(AtomicU64::new(plan.seed << 20));
-        let over = Arc::new(AtomicBool::new(false));
         let until = Instant::now() + plan.length;
         let mut threads = Vec::new();
         for (coordinator, target) in targets.iter().enumerate() {
@@ -94,8 +93,8 @@
                 threads.push(std::thread::spawn(move || client.run()));
             }
             for _ in 0..plan.coordinators[coordinator].crowd {
-                let (target, over) = (target.clone(), over.clone());
-                std::thread::spawn(move || idle(&target, &over, until));
+                let target = target.clone();
+                std::thread::spawn(move || idle(&target, until));
             }
         }
         Clients { threads }
@@ -108,8 +107,8 @@
 }
 
 /// A client of a crowd: it connects, says nothing, and comes again when it is shut out.
-fn idle(target: &Target, over: &AtomicBool, until: Instant) {
-    while Instant::now() < until && !over.load(Ordering::Relaxed) {
+fn idle(target: &Target, until: Instant) {
+    while Instant::now() < until {
         if let Some(mut stream) = target.get().and_then(|(addr, _)| TcpStream::connect(addr).ok()) {
             let _ =
                 stream.set_read_timeout(Some(until.saturating_duration_since(Instant::now()).max(RECONNECT)));
