--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Two clients that use one query id in turn, while one answer of the engine comes twice. See claim.txt."""
+"""An insert that begins with WITH, while the process of its engine dies. See claim.txt."""
 import os
 import sys
 
@@ -6,14 +6,26 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import rig as r  # noqa: E402
 
-ROUNDS = 30
+STATEMENT = (
+    "WITH fresh AS (SELECT id, name FROM members_7.inbox) "
+    "INSERT INTO members SELECT id, name FROM fresh"
+)
+# The same rows in the other spelling: it shows that the coordinator keeps the rule for statements that it takes for writes.
+CONTROL = (
+    "INSERT INTO members WITH fresh AS (SELECT id, name FROM members_7.inbox) "
+    "SELECT id, name FROM fresh"
+)
+# As deploy/appliance.kdl, which is the example of a small site.
 CONFIG = """
 listen "127.0.0.1:{port}"
 front "clickhouse"
 engines {{
-    engine "engine-1" at="127.0.0.1:{engine}" building="main" kind="std-8"
+    engine "engine-1" at="127.0.0.1:{engines[0]}" building="main" kind="std-8"
+    engine "engine-2" at="127.0.0.1:{engines[1]}" building="main" kind="std-8"
+    engine "engine-3" at="127.0.0.1:{engines[2]}" building="main" kind="std-8"
 }}
 class "lookup" wanted="500 ms" patience="2.5 s" worth=1 threads=1
+class "report" wanted="1.5 s" patience="15 s" worth=10 threads=2
 class "import" wanted="3 s" patience="25 s" worth=7.5 threads=2 once=#true in-order=#true holds-tables=#true
 reads "lookup"
 writes "import"
@@ -21,6 +33,42 @@
 """
 
 
+def lines(path):
+    with open(path, encoding="utf-8") as f:
+        return f.read().splitlines()
+
+
+def play(rig, name, statement):
+    """Runs the statement once on three new engines; the engine that commits it dies. Returns how often it was committed."""
+    port, ports = r.free_port(), [r.free_port() for _ in range(3)]
+    store, log = rig.write(f"{name}.store", ""), rig.write(f"{name}.seen", "")
+    engines = {}
+    for number, engine_port in enumerate(ports, 1):
+        command = [sys.executable, os.path.join(FOLDER, "engine.py"), f"engine-{number}", str(engine_port), store, log]
+        engines[f"engine-{number}"] = rig.start(f"{name}-engine-{number}", command)
+    for engine_port in ports:
+        rig.wait_for("engine", lambda p=engine_port: answers(p))
+    config = rig.write(f"{name}.kdl", CONFIG.format(port=port, engines=ports))
+    rig.start_coordinator(f"{name}-coordinator", config)
+    rig.wait_until_alive(port)
+    client = r.socket.create_connection(("127.0.0.1", port), timeout=30)
+    rig.note(name, f"client sends: {statement}")
+    client.sendall(r.request_bytes("POST", f"/?query_id={name}", {}, statement.encode()))
+    committed = lambda: [line.split()[0] for line in lines(log) if " committed " in line]
+    first = rig.wait_for("commit", committed)[0]
+    if rig.trouble:
+        engines[first].kill()
+        rig.note(name, f"the process of {first} is killed, after its commit and before its answer")
+    answer = r.read_answer(client.makefile("rb"))
+    rig.note(name, f"client gets: {answer}")
+    r.time.sleep(1.5)
+    for line in lines(log):
+        rig.note(name, line)
+    count = len(lines(store))
+    rig.note(name, f"the rows of the statement are in the table {count} time(s)")
+    return count
+
+
 def answers(port):
     try:
         return r.http(port, "GET", "/ping", {}, b"", 1.0).status == 200
@@ -29,37 +77,10 @@
 
 
 def case(rig):
-    port, engine = r.free_port(), r.free_port()
-    seen = rig.write("seen", "")
-    copies = "1" if rig.trouble else "0"
-    rig.start("engine", [sys.executable, os.path.join(FOLDER, "engine.py"), str(engine), copies, seen])
-    rig.wait_for("engine", lambda: answers(engine))
-    rig.start_coordinator("coordinator", rig.write("site.kdl", CONFIG.format(port=port, engine=engine)))
-    rig.wait_until_alive(port)
-    clients = []
-    for _ in range(2):
-        stream = r.socket.create_connection(("127.0.0.1", port), timeout=5)
-        stream.setsockopt(r.socket.IPPROTO_TCP, r.socket.TCP_NODELAY, 1)
-        clients.append((stream, stream.makefile("rb")))
-    wrong = 0
-    for number in range(ROUNDS):
-        # One at a time: the id is never in use when it is used again.
-        stream, answers_of = clients[number % 2]
-        statement = f"SELECT name FROM school_{number}.members"
-        stream.sendall(r.request_bytes("POST", "/?query_id=panel-7", {}, statement.encode()))
-        answer = r.read_answer(answers_of)
-        is_served = answer.status == 200
-        is_right = answer.body == f"made for\t{statement}\n".encode()
-        wrong += is_served and not is_right
-        verdict = "" if is_right else " WRONG" if is_served else " not served"
-        rig.note(f"client {number % 2 + 1}", f"{statement} -> {answer}{verdict}")
-        if answer.status == 0:
-            raise r.NotRun("a connection ended")
-    with open(seen, encoding="utf-8") as f:
-        for line in f.read().splitlines():
-            rig.note("engine", line)
-    rig.note("case", f"{wrong} of {ROUNDS} requests were served with what was made for another request")
-    return wrong == 0
+    control = play(rig, "control", CONTROL)
+    if control != 1:
+        raise r.NotRun(f"the control statement was committed {control} times")
+    return play(rig, "insert", STATEMENT) <= 1
 
 
 r.run_case(os.path.join(FOLDER, "record.txt"), os.environ.get("TROUBLE", "1") != "0", case)
--- a/review/2/engine.py
+++ b/review/2/engine.py
@@ -1,72 +1,67 @@
-"""A small stand-in for a ClickHouse server, whose answers may come twice.
+"""A small stand-in for a ClickHouse server: HTTP, one statement for each request, one table that all servers share.
 
-The result of a statement names the statement, so that a client can tell for which one it was made. With COPIES=1 a good answer
-is followed by a second copy of it, LATE_S later, on the same connection ("a second answer may come some milliseconds late").
-This happens to one answer of the whole run, the third; all others come once.
+The servers of the case are replicas of one table: what one of them has committed, all of them have. A commit is a line in
+the file STORE. INSERT ... SELECT commits its rows when its source has been read (READ_S after the statement came) and answers
+END_S later, when the statement has ended. Both spellings of an insert with a common table expression that ClickHouse documents
+(INSERT INTO t WITH x AS (...) SELECT, and WITH x AS (...) INSERT INTO t SELECT) write.
 
-usage: engine.py PORT COPIES LOG
+usage: engine.py NAME PORT STORE LOG
 """
-import socket
+import re
 import sys
 import threading
 import time
 import urllib.parse
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-PORT, COPIES, LOG = int(sys.argv[1]), sys.argv[2] == "1", sys.argv[3]
-WORK_S, LATE_S = 0.02, 0.008
+NAME, PORT, STORE, LOG = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
+READ_S, END_S = 0.1, 0.4
+WRITES = re.compile(r"\binsert\s+into\s+(\w+)", re.IGNORECASE)
 LOCK = threading.Lock()
-COUNT = [0]
 
 
-def note(text):
-    with LOCK, open(LOG, "a", encoding="utf-8") as f:
+def add_line(path, text):
+    with LOCK, open(path, "a", encoding="utf-8") as f:
         f.write(text + "\n")
 
 
-def answer_bytes(query_id, body):
-    head = f"HTTP/1.1 200 OK\r\nX-ClickHouse-Query-Id: {query_id}\r\nX-ClickHouse-Format: TabSeparated\r\n"
-    head += f"Content-Type: text/tab-separated-values; charset=UTF-8\r\nContent-Length: {len(body)}\r\n\r\n"
-    return head.encode() + body
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
 
+    def do_GET(self):
+        self.answer(200, b"Ok.\n", "")
 
-def serve(stream):
-    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    lines, writing = stream.makefile("rb"), threading.Lock()
+    def do_POST(self):
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(self.path).query)
+        query_id = query.get("query_id", [""])[0]
+        body = self.rfile.read(int(self.headers.get("Content-Length", "0"))).decode()
+        statement = (query.get("query", [""])[0] + " " + body).strip()
+        add_line(LOG, f"{NAME} got {query_id}: {statement}")
+        written = WRITES.search(statement)
+        time.sleep(READ_S)
+        if written:
+            add_line(STORE, f"{statement}")
+            add_line(LOG, f"{NAME} committed the rows of {query_id} to {written.group(1)}")
+            time.sleep(END_S)
+            return self.answer(200, b"", query_id)
+        with open(STORE, encoding="utf-8") as f:
+            count = len(f.readlines())
+        return self.answer(200, f"{count}\n".encode(), query_id)
 
-    def send(data):
-        with writing:
-            try:
-                stream.sendall(data)
-            except OSError:
-                pass
+    def answer(self, status, body, query_id):
+        self.send_response(status)
+        self.send_header("X-ClickHouse-Query-Id", query_id)
+        self.send_header("Content-Type", "text/tab-separated-values; charset=UTF-8")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
 
-    try:
-        while line := lines.readline():
-            length = 0
-            while (field := lines.readline()) not in (b"\r\n", b""):
-                name, _, value = field.decode().partition(":")
-                length = int(value) if name.lower() == "content-length" else length
-            statement = lines.read(length).decode()
-            query = urllib.parse.parse_qs(urllib.parse.urlsplit(line.decode().split()[1]).query)
-            query_id = query.get("query_id", [""])[0]
-            if not query_id:
-                send(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nOk.\n")
-                continue
-            time.sleep(WORK_S)
-            with LOCK:
-                COUNT[0] += 1
-                is_copied = COPIES and COUNT[0] == 3
-            answer = answer_bytes(query_id, f"made for\t{statement}\n".encode())
-            send(answer)
-            note(f"answered {query_id}: {statement}{', and again 8 ms later' if is_copied else ''}")
-            if is_copied:
-                threading.Timer(LATE_S, send, (answer,)).start()
-    except OSError:
+    def log_message(self, *_):
         pass
-    stream.close()
 
 
-server = socket.create_server(("127.0.0.1", PORT), backlog=128)
-while True:
-    connection, _ = server.accept()
-    threading.Thread(target=serve, args=(connection,), daemon=True).start()
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+
+Server(("127.0.0.1", PORT), Handler).serve_forever()
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -87,6 +87,19 @@
         env = {"LB_CONFIG": config, "TMPDIR": tmp, **(env or {})}
         return self.start(name, command, env, pass_fds)
 
+    def start_in_terminal(self, name, config, terminal):
+        """Starts a coordinator with the command of the deploy file as a program of the terminal with this descriptor."""
+        os.makedirs(self.path("tmp"), exist_ok=True)
+        process = subprocess.Popen(
+            ["/bin/sh", "-c", run_command()],
+            cwd=REPOSITORY,
+            env={**os.environ, "LB_CONFIG": config, "TMPDIR": self.path("tmp")},
+            preexec_fn=lambda: os.login_tty(terminal),
+        )
+        self.children.append(process)
+        self.note("rig", f"{name} started in a terminal")
+        return process
+
     def log_of(self, name):
         """What a process has written."""
         with open(self.path(f"{name}.log"), encoding="utf-8", errors="replace") as f:
