--- a/crates/coordinator/src/node/commands.rs
+++ b/crates/coordinator/src/node/commands.rs
@@ -75,9 +75,11 @@
             return;
         };
         let name = |engine| self.registry.name(engine).unwrap_or("gone");
+        let class = self.config.classes.names.get(usize::from(retry.class));
         let usage = self.core.retry_budget_usage(now).unwrap_or_default();
         tracing::info!(
             call = retry.name,
+            class = class.map_or("unknown", String::as_str),
             attempt = key.number,
             engine = name(engine),
             failed_on = name(retry.failed_on),
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -144,6 +144,8 @@
 pub struct RetryContext<'a> {
     /// The client's name for the request.
     pub name: &'a str,
+    /// Index of the request's class in the settings.
+    pub class: u16,
     /// The engine of the previous attempt.
     pub failed_on: EngineId,
     /// Why the previous attempt failed.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -41,6 +41,7 @@
         let (failed_on, error) = request.last_failure.as_ref()?;
         Some(RetryContext {
             name: &request.parsed.name,
+            class: request.parsed.class,
             failed_on: *failed_on,
             error,
         })
