ClickHouse: an INSERT behind a WITH clause is a write, and is never sent again

GET accepted such a statement, too.

Cause: Statement::scan took the first word of a statement as proof that it only reads, and WITH was one of these words. ClickHouse documents WITH before SELECT and before INSERT. The frontend then gave the statement the class of reads, which may be repeated. The test's log shows it: class="lookup", retried although "fully written".

Change: for WITH, the keyword after the clause decides. The clause ends where an element in one of its two published forms ends (`expression AS name`, `name AS (subquery)`); where that is not certain the statement is a write. A quoted identifier is no keyword. The written table, by which batches are ordered, is looked for from that keyword on. The mock engine decided with the same function whether GET may run a statement, and its log did not count such inserts: both have a check of their own now.

Reads with a WITH clause are retried as before (2 attempts).

--- a/crates/clickhouse/src/sql/mod.rs
+++ b/crates/clickhouse/src/sql/mod.rs
@@ -1,17 +1,19 @@
 //! Scans statements as far as routing needs: their kind, the tables that they name, and their effect on a session.
 //!
 //! This is not an SQL parser: it tokenizes the first [`MAX_SCANNED_BYTES`] and recognizes the keywords that statements
-//! start with. An unrecognized statement is treated as a write that must not run twice.
+//! start with, or that follow their WITH clause. An unrecognized statement is treated as a write that must not run twice.
 //!
 //! | module | purpose |
 //! | --- | --- |
 //! | `tokenizer` | splits a statement into tokens |
+//! | `with_clause` | the statement after a WITH clause |
 //! | `tables` | the tables that a statement names |
 //! | `kill` | KILL QUERY |
 
 mod kill;
 mod tables;
 mod tokenizer;
+mod with_clause;
 
 pub use kill::KillQuery;
 
@@ -23,8 +25,10 @@
 pub const MAX_SCANNED_BYTES: usize = 16 * 1024;
 
 const READ_KEYWORDS: &[&str] = &[
-    "select", "with", "show", "describe", "desc", "exists", "explain", "check",
+    "select", "show", "describe", "desc", "exists", "explain", "check",
 ];
+/// Keywords of reads after a WITH clause.
+const READ_KEYWORDS_AFTER_WITH: &[&str] = &["select", "from"];
 const SET_KEYWORDS: &[&str] = &["set", "use"];
 const CREATE_KEYWORDS: &[&str] = &["create", "replace"];
 const TRANSACTION_KEYWORDS: &[&str] = &["begin", "commit", "rollback"];
@@ -57,18 +61,23 @@
     pub fn scan(text: &str) -> Statement {
         let text = scanned_part(text);
         let tokens = tokenize(text);
-        let Some(first) = tokens.iter().position(|t| matches!(t, Token::Name(_))) else {
+        let Some(main) = MainKeyword::find(&tokens) else {
             return Statement {
                 is_empty: tokens.is_empty(),
+                table_group: tables::table_group(&tokens),
                 ..Statement::default()
             };
         };
-        let tokens_from_first = &tokens[first..];
+        let tokens_from_main = &tokens[main.index..];
         let has_keyword = |offset: usize, keywords: &[&str]| {
-            let token = tokens_from_first.get(offset);
+            let token = tokens_from_main.get(offset);
             token.is_some_and(|t| t.is_keyword(keywords))
         };
-        let is_read = has_keyword(0, READ_KEYWORDS);
+        let is_read = if main.is_after_with {
+            has_keyword(0, READ_KEYWORDS_AFTER_WITH)
+        } else {
+            has_keyword(0, READ_KEYWORDS)
+        };
         let is_set = has_keyword(0, SET_KEYWORDS);
         let is_kill = has_keyword(0, &["kill"]) && has_keyword(1, &["query"]);
         let is_temporary = |offset| has_keyword(offset, &["temporary"]);
@@ -87,15 +96,43 @@
             written_table: if is_read {
                 None
             } else {
-                tables::written_table(&tokens)
+                tables::written_table(tokens_from_main)
             },
             table_group: tables::table_group(&tokens),
-            kill: is_kill.then(|| KillQuery::parse(text, tokens_from_first)),
+            kill: is_kill.then(|| KillQuery::parse(text, tokens_from_main)),
             is_empty: false,
         }
     }
 }
 
+/// The keyword that decides what a statement does.
+struct MainKeyword {
+    /// The index of its token.
+    index: usize,
+    /// Whether it follows a WITH clause.
+    is_after_with: bool,
+}
+
+impl MainKeyword {
+    /// Finds the first word of a statement, or the keyword after its WITH clause. `None` if there is no word, or if it is not
+    /// certain where the WITH clause ends.
+    fn find(tokens: &[Token]) -> Option<MainKeyword> {
+        let first = tokens.iter().position(|token| token.name().is_some())?;
+        if !tokens[first].is_keyword(&["with"]) {
+            return Some(MainKeyword {
+                index: first,
+                is_after_with: false,
+            });
+        }
+        let after_with = first + 1;
+        let offset = with_clause::statement_keyword(&tokens[after_with..])?;
+        Some(MainKeyword {
+            index: after_with + offset,
+            is_after_with: true,
+        })
+    }
+}
+
 /// The first [`MAX_SCANNED_BYTES`], rounded down to a character boundary.
 fn scanned_part(text: &str) -> &str {
     let mut end = text.len().min(MAX_SCANNED_BYTES);
--- a/crates/clickhouse/src/sql/tables.rs
+++ b/crates/clickhouse/src/sql/tables.rs
@@ -9,7 +9,8 @@
 /// Databases with this name and a number are not table groups.
 const STAGING: &str = "staging";
 
-/// The table that a statement writes, with the database if the statement names it.
+/// The table that a statement writes, with the database if the statement names it; `tokens` start with the keyword that decides
+/// what the statement does.
 pub(super) fn written_table(tokens: &[Token]) -> Option<String> {
     let keyword = tokens.iter().position(|t| t.is_keyword(WRITE_KEYWORDS))?;
     let target = match &tokens[keyword + 1..] {
@@ -18,11 +19,11 @@
         target => target,
     };
     match target {
-        [Token::Name(database), Token::Dot, Token::Name(table), ..] => {
-            Some(format!("{database}.{table}"))
+        [database, Token::Dot, table, ..] => {
+            Some(format!("{}.{}", database.name()?, table.name()?))
         }
-        [Token::Name(table), ..] => Some(table.clone()),
-        _ => None,
+        [table, ..] => table.name().map(String::from),
+        [] => None,
     }
 }
 
@@ -31,10 +32,11 @@
 pub(super) fn table_group(tokens: &[Token]) -> u32 {
     let mut fallback = 0;
     for (index, window) in tokens.windows(3).enumerate() {
-        let [Token::Name(database), Token::Dot, Token::Name(_)] = window else {
+        let [database, Token::Dot, table] = window else {
             continue;
         };
-        let Some(group) = group_number(database) else {
+        let database = database.name().filter(|_| table.name().is_some());
+        let Some(group) = database.and_then(group_number) else {
             continue;
         };
         if index > 0 && tokens[index - 1].is_keyword(TABLE_KEYWORDS) {
--- a/crates/clickhouse/src/sql/tokenizer.rs
+++ b/crates/clickhouse/src/sql/tokenizer.rs
@@ -3,8 +3,10 @@
 /// A token of a statement. Comments and white space produce no tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Token {
-    /// A keyword, number or identifier; quoted identifiers are stored without their quotes.
+    /// A keyword, number or unquoted identifier.
     Name(String),
+    /// The content of a quoted identifier, which is never a keyword.
+    QuotedName(String),
     /// The content of a string literal.
     String(String),
     /// A dot.
@@ -21,6 +23,14 @@
             _ => false,
         }
     }
+
+    /// The identifier, quoted or not, or the keyword or number.
+    pub(super) fn name(&self) -> Option<&str> {
+        match self {
+            Token::Name(name) | Token::QuotedName(name) => Some(name),
+            _ => None,
+        }
+    }
 }
 
 /// Splits a statement into tokens. Unterminated literals and comments end at the end of the text.
@@ -54,7 +64,7 @@
             '-' if second == Some('-') => self.skip_line_comment(),
             '/' if second == Some('*') => self.skip_block_comment(),
             '\'' => return Some(Token::String(self.read_quoted('\''))),
-            '"' | '`' => return Some(Token::Name(self.read_quoted(first))),
+            '"' | '`' => return Some(Token::QuotedName(self.read_quoted(first))),
             c if is_name_start(c) => return Some(Token::Name(self.read_name())),
             c => {
                 self.position += 1;
--- a/crates/clickhouse/tests/request.rs
+++ b/crates/clickhouse/tests/request.rs
@@ -76,6 +76,8 @@
     let form = ("Content-Type", "multipart/form-data; boundary=b");
     assert_eq!(code("POST", "/", &[], b"  "), 62);
     assert_eq!(code("GET", "/?query=DROP+TABLE+t", &[], b""), 164);
+    let insert = "/?query=WITH+1+AS+a+INSERT+INTO+t+SELECT+a";
+    assert_eq!(code("GET", insert, &[], b""), 164);
     assert_eq!(
         code(
             "POST",
--- a/crates/clickhouse/tests/sql.rs
+++ b/crates/clickhouse/tests/sql.rs
@@ -28,6 +28,76 @@
     );
 }
 
+// Guards against an INSERT behind a WITH clause that counts as a read and is therefore sent again.
+#[test]
+fn insert_after_a_with_clause_is_no_read_and_its_table_is_found() {
+    for (insert, table) in [
+        ("WITH x AS (SELECT 1) INSERT INTO t SELECT * FROM x", "t"),
+        (
+            "with 1 as a, 'b' AS c insert into table uni_4.t select a",
+            "uni_4.t",
+        ),
+        (
+            "WITH RECURSIVE n(i) AS (SELECT 1) INSERT INTO `t` SELECT i FROM n",
+            "t",
+        ),
+        (
+            "WITH x AS MATERIALIZED (SELECT 1) INSERT INTO t SELECT 1",
+            "t",
+        ),
+        (
+            "WITH x AS NOT MATERIALIZED (SELECT table FROM u) INSERT INTO t SELECT 1",
+            "t",
+        ),
+        (
+            "WITH (SELECT max(id) FROM t) AS select INSERT INTO t SELECT select",
+            "t",
+        ),
+        ("WITH a.as AS b, [1, 2] AS c INSERT INTO t SELECT c", "t"),
+        ("WITH a AND select AS b INSERT INTO t SELECT b", "t"),
+        ("WITH 1 AS \"SELECT\" INSERT INTO t SELECT 1", "t"),
+        (
+            "/* SELECT */ WITH 1 AS a -- SELECT\nINSERT INTO t SELECT a",
+            "t",
+        ),
+    ] {
+        let scanned = Statement::scan(insert);
+        assert!(
+            !scanned.is_read && !scanned.is_idempotent && scanned.is_insert,
+            "{insert}"
+        );
+        assert_eq!(scanned.written_table.as_deref(), Some(table), "{insert}");
+    }
+}
+
+#[test]
+fn statement_after_a_with_clause_reads_only_if_it_is_a_select() {
+    for read in [
+        "WITH x AS (SELECT 1) SELECT * FROM x",
+        "WITH 'INSERT INTO t' AS a SELECT a",
+        "WITH 1 AS insert SELECT insert FROM t",
+        "WITH 1 AS \"insert\", 2 AS select SELECT select",
+        "WITH x AS (SELECT 1) FROM x SELECT *",
+        "(WITH t.insert AS a SELECT a INTO OUTFILE 'x')",
+        "WITH {p:UInt8} AS a, x -> x + a AS f SELECT f(1)",
+        "WITH toDate('2026-01-01') + INTERVAL 1 DAY AS d SELECT d UNION ALL SELECT d",
+        "WITH CAST(1 AS UInt8) AS a, CASE WHEN a THEN 1 ELSE 2 END AS b SELECT b",
+    ] {
+        let scanned = Statement::scan(read);
+        assert!(scanned.is_read && !scanned.is_insert, "{read}");
+        assert_eq!(scanned.written_table, None, "{read}");
+    }
+    for uncertain in [
+        "WITH",
+        "WITH 1",
+        "WITH x AS (SELECT 1",
+        "WITH x AS (SELECT 1)",
+        "WITH 1 AS a DELETE",
+    ] {
+        assert!(!Statement::scan(uncertain).is_idempotent, "{uncertain}");
+    }
+}
+
 #[test]
 fn statements_with_session_effects_are_recognized() {
     for stateful in [
--- /dev/null
+++ b/crates/coordinator/tests/repeated_statements.rs
@@ -0,0 +1,53 @@
+//! Statements are sent again after a failure only if they are known to read: mock engines close the connection of a statement that
+//! requests it, when it may have run.
+
+use driftfront_test_support::coordinator::clickhouse_site::Site;
+use driftfront_test_support::coordinator::Response;
+
+/// Requests that the connection is closed instead of a response.
+const CUT: &str = "/* standin: cut */";
+/// As [`CUT`], on the first attempt only.
+const CUT_FIRST: &str = "/* standin: cut first */";
+
+fn exception_code(response: &Response) -> Option<u32> {
+    response.header("X-ClickHouse-Exception-Code")?.parse().ok()
+}
+
+/// Checks that a statement was sent once, and that its client is informed that it may have run.
+fn assert_sent_once(site: &Site, response: &Response, text: &str) {
+    let attempts = site.request_log.of(text).len();
+    assert_eq!(attempts, 1, "{text}\n{}", site.coordinator.log());
+    let answer = (response.status, exception_code(response));
+    assert_eq!(answer, (500, Some(210)), "{text}");
+}
+
+// Guards against an INSERT behind a WITH clause that counts as a read, is sent again, and writes its rows twice.
+#[test]
+fn insert_after_a_with_clause_is_sent_once_when_its_engine_is_lost() {
+    let site = Site::start(2);
+    let inserts = [
+        "WITH fresh AS (SELECT id FROM uni_4.inbox) INSERT INTO uni_4.a SELECT id FROM fresh",
+        "with 1 as id, 'x' as name insert into uni_4.b select id, name",
+        "-- a comment\nWITH RECURSIVE n(i) AS (SELECT 1) INSERT INTO TABLE uni_4.c SELECT i FROM n",
+    ];
+    for insert in inserts {
+        let response = site.query(&format!("{insert} {CUT}"));
+        assert_sent_once(&site, &response, insert);
+    }
+    site.request_log.assert_rules(inserts.len());
+}
+
+#[test]
+fn read_after_a_with_clause_is_retried_when_its_engine_is_lost() {
+    let site = Site::start(2);
+    let reads = [
+        "WITH 'INSERT INTO t' AS a SELECT 1",
+        "WITH 1 AS insert SELECT 2",
+    ];
+    for read in reads {
+        let response = site.query(&format!("{read} {CUT_FIRST}"));
+        assert_eq!(response.status, 200, "{read}");
+        assert_eq!(site.request_log.of(read).len(), 2, "{read}");
+    }
+    site.request_log.assert_rules(reads.len());
+}
--- a/crates/mock-servers/src/engine/mod.rs
+++ b/crates/mock-servers/src/engine/mod.rs
@@ -18,6 +18,7 @@
 mod state;
 
 pub use output::FORMATS;
+pub(crate) use sql::inserted_table;
 pub use state::{fnv, Table};
 
 use crate::request_log::RequestLog;
--- a/crates/mock-servers/src/engine/query.rs
+++ b/crates/mock-servers/src/engine/query.rs
@@ -4,6 +4,7 @@
 use super::exception::{code, Exception, QueryError};
 use super::faults::Faults;
 use super::insert::decompress_blocks;
+use super::sql;
 use super::state::{Session, State};
 use driftfront_clickhouse::coding::{self, Coding};
 use driftfront_clickhouse::credentials::Credentials;
@@ -115,8 +116,8 @@
                 "Too many simultaneous queries. Maximum: 0",
             )));
         }
-        let is_read = matches!(query.request.method.as_str(), "GET" | "HEAD");
-        if is_read && !Statement::scan(&query.statement).is_read {
+        let is_read_only = matches!(query.request.method.as_str(), "GET" | "HEAD");
+        if is_read_only && !sql::is_read_only(&query.statement) {
             return Err(Exception::new(
                 code::READONLY,
                 "Cannot execute query in readonly mode. For queries over HTTP, method GET implies readonly. You \
--- a/crates/mock-servers/src/engine/sql/mod.rs
+++ b/crates/mock-servers/src/engine/sql/mod.rs
@@ -12,6 +12,10 @@
 
 /// Maximum length of the statement's text in a syntax error, in characters.
 const MAX_SHOWN_CHARS: usize = 30;
+/// The first words of statements that only read, unless an insert follows the WITH clause.
+const READ_VERBS: &[&str] = &[
+    "select", "with", "show", "describe", "desc", "exists", "explain", "check",
+];
 
 /// The result of a SELECT: its columns and the number of rows.
 #[derive(Clone, Debug)]
@@ -87,7 +91,7 @@
 pub(super) fn parse(text: &str, scope: &Scope) -> Result<Parsed, Exception> {
     let text = without_comments(text);
     let text = text.trim().trim_end_matches(';').trim();
-    if let Some(insert) = strip_words(text, &["insert", "into"]) {
+    if let Some(insert) = after_insert_into(text) {
         return Ok(parse_insert(insert));
     }
     let (text, format) = match find_word(text, "format") {
@@ -102,6 +106,31 @@
     Ok(Parsed { statement, format })
 }
 
+/// Returns what follows `INSERT INTO` in an insert without comments, which may start with a WITH clause.
+fn after_insert_into(text: &str) -> Option<&str> {
+    let text = text.trim_start();
+    let insert = match strip_words(text, &["with"]) {
+        Some(_) => &text[find_word(text, "insert")?..],
+        None => text,
+    };
+    strip_words(insert, &["insert", "into"])
+}
+
+/// Whether a statement may run in read-only mode. This check shares no code with the coordinator's.
+pub(super) fn is_read_only(text: &str) -> bool {
+    let text = without_comments(text);
+    let (verb, _) = first_word(text.trim_start_matches(|c: char| c == '(' || c.is_whitespace()));
+    let is_read_verb = READ_VERBS.iter().any(|v| v.eq_ignore_ascii_case(verb));
+    is_read_verb && after_insert_into(&text).is_none()
+}
+
+/// The table that an insert writes.
+pub(crate) fn inserted_table(statement: &str) -> Option<String> {
+    let text = without_comments(statement);
+    let target = after_insert_into(&text)?;
+    Some(name(strip_words(target, &["table"]).unwrap_or(target)))
+}
+
 /// Parses what follows `INSERT INTO`.
 fn parse_insert(text: &str) -> Parsed {
     let text = strip_words(text, &["table"]).unwrap_or(text);
--- a/crates/mock-servers/src/request_log/rules.rs
+++ b/crates/mock-servers/src/request_log/rules.rs
@@ -1,6 +1,7 @@
 //! Rules that can be checked on the statements that engines received.
 
 use super::{Budget, Entry};
+use crate::engine::inserted_table;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
 
@@ -16,12 +17,11 @@
 /// Checks all rules except retry budgets.
 pub(super) fn check_all(entries: &[Entry], requests: usize) -> Vec<String> {
     let mut by_statement: BTreeMap<&str, Vec<&Entry>> = BTreeMap::new();
-    let mut by_table: BTreeMap<&str, Vec<&Entry>> = BTreeMap::new();
+    let mut by_table: BTreeMap<String, Vec<&Entry>> = BTreeMap::new();
     for entry in entries {
         let statement = entry.statement.as_str();
         by_statement.entry(statement).or_default().push(entry);
-        if let Some(insert) = statement.strip_prefix("INSERT INTO ") {
-            let table = insert.split([' ', '(']).next().unwrap_or_default();
+        if let Some(table) = inserted_table(statement) {
             by_table.entry(table).or_default().push(entry);
         }
     }
@@ -54,7 +54,8 @@
         breaches.push(format!("two attempts at once of {statement}"));
     }
     let may_have_run = || attempts.iter().filter(|attempt| attempt.may_have_run);
-    if statement.starts_with("INSERT") && may_have_run().count() > 1 {
+    let is_insert = statement.starts_with("INSERT") || inserted_table(statement).is_some();
+    if is_insert && may_have_run().count() > 1 {
         breaches.push(format!("may have run twice: {statement}"));
     }
     let ids: BTreeSet<&String> = may_have_run().map(|attempt| &attempt.id).collect();
--- a/crates/mock-servers/tests/request_log.rs
+++ b/crates/mock-servers/tests/request_log.rs
@@ -31,3 +31,18 @@
         assert!(breaches.contains(words), "{words}: {breaches}");
     }
 }
+
+#[test]
+fn insert_after_a_with_clause_counts_as_an_insert() {
+    let insert = "WITH 1 AS a INSERT INTO t SELECT a";
+    let read = "WITH 'insert into t' AS a SELECT a";
+    let run = |statement: &str| {
+        let log = RequestLog::default();
+        for id in ["q", "q~1"] {
+            log.end(log.begin("e", id, statement, None), true);
+        }
+        log.breaches(20).join("; ")
+    };
+    assert_eq!(run(insert), format!("may have run twice: {insert}"));
+    assert_eq!(run(read), "");
+}
