ClickHouse: statements are split at the literals and comments that servers split at

ClickHouse documents backslash escapes in quoted identifiers as in strings, heredocs (`$tag$...$tag$`), `#` as a comment only in `# ` and `#!`, and nested block comments since 20.10; the tokenizer knew none of these. An INSERT could so be hidden in what looked like a literal, and `/* /* */ SELECT 1 */ INSERT ...` was a read by its first word.

Change: the tokenizer follows these rules and borrows from the statement instead of copying it. In a WITH clause, a character that only some servers take for a quote, and a literal without an end, make the statement a write. A statement that is one unterminated comment is forwarded as a write, no longer refused as empty.

--- a/crates/clickhouse/src/sql/kill.rs
+++ b/crates/clickhouse/src/sql/kill.rs
@@ -35,16 +35,16 @@
     /// The ids; empty if the condition has an unsupported form.
     ids: Vec<String>,
     /// The tokens after the condition.
-    rest: &'a [Token],
+    rest: &'a [Token<'a>],
 }
 
 impl Condition<'_> {
-    fn parse(tokens: &[Token]) -> Condition<'_> {
+    fn parse<'a>(tokens: &'a [Token<'a>]) -> Condition<'a> {
         let is_query_id = |token: &Token| token.is_keyword(&["query_id"]);
         match tokens {
             [column, Token::Sign('='), Token::String(id), rest @ ..] if is_query_id(column) => {
                 Condition {
-                    ids: vec![id.clone()],
+                    ids: vec![id.to_string()],
                     rest,
                 }
             }
@@ -61,11 +61,11 @@
     }
 
     /// Parses a list after its opening parenthesis.
-    fn parse_list(tokens: &[Token]) -> Condition<'_> {
+    fn parse_list<'a>(tokens: &'a [Token<'a>]) -> Condition<'a> {
         let mut ids = Vec::new();
         let mut rest = tokens;
         while let [Token::String(id), following @ ..] = rest {
-            ids.push(id.clone());
+            ids.push(id.to_string());
             rest = match following {
                 [Token::Sign(','), following @ ..] => following,
                 following => following,
@@ -89,12 +89,12 @@
 }
 
 impl Options<'_> {
-    fn parse(tokens: &[Token]) -> Options<'_> {
+    fn parse<'a>(tokens: &'a [Token<'a>]) -> Options<'a> {
         let mut words = Vec::new();
         let mut are_words = true;
         for token in tokens {
             match token {
-                Token::Name(word) => words.push(word.as_str()),
+                Token::Name(word) => words.push(*word),
                 Token::Sign(';') => {}
                 _ => are_words = false,
             }
--- a/crates/clickhouse/src/sql/tokenizer.rs
+++ b/crates/clickhouse/src/sql/tokenizer.rs
@@ -1,21 +1,25 @@
-//! Tokenizer for statements.
+//! Tokenizer for statements, by the lexical rules that ClickHouse documents.
+
+use std::borrow::Cow;
 
 /// A token of a statement. Comments and white space produce no tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Token {
+pub(super) enum Token<'a> {
     /// A keyword, number or unquoted identifier.
-    Name(String),
+    Name(&'a str),
     /// The content of a quoted identifier, which is never a keyword.
-    QuotedName(String),
-    /// The content of a string literal.
-    String(String),
+    QuotedName(Cow<'a, str>),
+    /// The content of a string literal or heredoc.
+    String(Cow<'a, str>),
     /// A dot.
     Dot,
     /// Any other character.
     Sign(char),
+    /// A comment, literal or quoted identifier that has no end.
+    Unterminated,
 }
 
-impl Token {
+impl Token<'_> {
     /// Whether the token is one of these keywords, given in lower case.
     pub(super) fn is_keyword(&self, keywords: &[&str]) -> bool {
         match self {
@@ -27,100 +31,139 @@
     /// The identifier, quoted or not, or the keyword or number.
     pub(super) fn name(&self) -> Option<&str> {
         match self {
-            Token::Name(name) | Token::QuotedName(name) => Some(name),
+            Token::Name(name) => Some(name),
+            Token::QuotedName(name) => Some(name),
             _ => None,
         }
     }
 }
 
-/// Splits a statement into tokens. Unterminated literals and comments end at the end of the text.
-pub(super) fn tokenize(statement: &str) -> Vec<Token> {
-    let mut tokenizer = Tokenizer {
-        chars: statement.chars().collect(),
-        position: 0,
-    };
+/// Splits a statement into tokens.
+pub(super) fn tokenize(statement: &str) -> Vec<Token<'_>> {
+    let mut tokenizer = Tokenizer { rest: statement };
     let mut tokens = Vec::new();
-    while let Some(c) = tokenizer.peek(0) {
-        tokens.extend(tokenizer.next_token(c));
+    while let Some(first) = tokenizer.rest.chars().next() {
+        tokens.extend(tokenizer.next_token(first));
     }
     tokens
 }
 
-struct Tokenizer {
-    chars: Vec<char>,
-    position: usize,
+struct Tokenizer<'a> {
+    rest: &'a str,
 }
 
-impl Tokenizer {
-    fn peek(&self, offset: usize) -> Option<char> {
-        self.chars.get(self.position + offset).copied()
-    }
-
+impl<'a> Tokenizer<'a> {
     /// Consumes a token, a comment or a white space character that starts with `first`.
-    fn next_token(&mut self, first: char) -> Option<Token> {
-        let second = self.peek(1);
+    fn next_token(&mut self, first: char) -> Option<Token<'a>> {
+        if self.starts_line_comment() {
+            self.skip_line_comment();
+            return None;
+        }
+        if self.rest.starts_with("/*") {
+            return self.skip_block_comment();
+        }
         match first {
-            '#' => self.skip_line_comment(),
-            '-' if second == Some('-') => self.skip_line_comment(),
-            '/' if second == Some('*') => self.skip_block_comment(),
-            '\'' => return Some(Token::String(self.read_quoted('\''))),
-            '"' | '`' => return Some(Token::QuotedName(self.read_quoted(first))),
-            c if is_name_start(c) => return Some(Token::Name(self.read_name())),
-            c => {
-                self.position += 1;
-                return match c {
-                    '.' => Some(Token::Dot),
-                    c if c.is_whitespace() => None,
-                    c => Some(Token::Sign(c)),
-                };
+            '\'' => Some(
+                self.read_quoted(first)
+                    .map_or(Token::Unterminated, Token::String),
+            ),
+            '"' | '`' => Some(
+                self.read_quoted(first)
+                    .map_or(Token::Unterminated, Token::QuotedName),
+            ),
+            '$' => Some(self.read_heredoc().unwrap_or_else(|| self.read_sign(first))),
+            c if is_name_char(c) => Some(self.read_name()),
+            c if c.is_whitespace() => {
+                self.skip(c.len_utf8());
+                None
             }
+            c => Some(self.read_sign(c)),
         }
-        None
     }
 
-    fn skip_line_comment(&mut self) {
-        while self.peek(0).is_some_and(|c| c != '\n') {
-            self.position += 1;
-        }
+    /// Consumes `bytes` bytes and returns them.
+    fn skip(&mut self, bytes: usize) -> &'a str {
+        let (skipped, rest) = self.rest.split_at(bytes);
+        self.rest = rest;
+        skipped
     }
 
-    fn skip_block_comment(&mut self) {
-        self.position += 2;
-        while self.peek(0).is_some() && (self.peek(0), self.peek(1)) != (Some('*'), Some('/')) {
-            self.position += 1;
+    fn read_sign(&mut self, sign: char) -> Token<'a> {
+        self.skip(sign.len_utf8());
+        match sign {
+            '.' => Token::Dot,
+            sign => Token::Sign(sign),
         }
-        self.position += 2;
     }
 
-    fn read_name(&mut self) -> String {
-        let start = self.position;
-        while self.peek(0).is_some_and(|c| is_name_start(c) || c == '$') {
-            self.position += 1;
+    fn starts_line_comment(&self) -> bool {
+        ["--", "#!", "# "]
+            .iter()
+            .any(|start| self.rest.starts_with(start))
+    }
+
+    fn skip_line_comment(&mut self) {
+        let end = self.rest.find('\n').unwrap_or(self.rest.len());
+        self.skip(end);
+    }
+
+    /// Skips a block comment, which may contain others.
+    fn skip_block_comment(&mut self) -> Option<Token<'a>> {
+        let mut depth = 0_usize;
+        while let Some(next) = self.rest.chars().next() {
+            if self.rest.starts_with("/*") {
+                depth += 1;
+                self.skip(2);
+            } else if self.rest.starts_with("*/") {
+                depth -= 1;
+                self.skip(2);
+            } else {
+                self.skip(next.len_utf8());
+            }
+            if depth == 0 {
+                return None;
+            }
         }
-        self.chars[start..self.position].iter().collect()
+        Some(Token::Unterminated)
     }
 
-    /// Reads quoted text. A doubled quote stands for one quote, and a backslash in a string literal escapes the next
-    /// character.
-    fn read_quoted(&mut self, quote: char) -> String {
-        let mut content = String::new();
-        self.position += 1;
-        while let Some(c) = self.peek(0) {
-            if c == '\\' && quote == '\'' {
-                self.position += 1;
-            } else if c == quote {
-                self.position += 1;
-                if self.peek(0) != Some(quote) {
-                    return content;
-                }
+    fn read_name(&mut self) -> Token<'a> {
+        let end = self.rest.find(|c: char| !is_name_char(c) && c != '$');
+        Token::Name(self.skip(end.unwrap_or(self.rest.len())))
+    }
+
+    /// Reads quoted text; `None` if the closing quote is missing. A doubled quote stands for one quote, and a backslash escapes
+    /// the next character, in identifiers as in string literals.
+    fn read_quoted(&mut self, quote: char) -> Option<Cow<'a, str>> {
+        self.skip(quote.len_utf8());
+        let mut content = Cow::Borrowed("");
+        loop {
+            let end = self.rest.find([quote, '\\']);
+            content += self.skip(end.unwrap_or(self.rest.len()));
+            let is_escape = self.rest.starts_with('\\');
+            self.rest.chars().next()?;
+            self.skip(1);
+            let next = self.rest.chars().next();
+            if !is_escape && next != Some(quote) {
+                return Some(content);
             }
-            content.extend(self.peek(0));
-            self.position += 1;
+            content += self.skip(next?.len_utf8());
+        }
+    }
+
+    /// Reads a heredoc, `$tag$content$tag$`; `None` if the text is not one.
+    fn read_heredoc(&mut self) -> Option<Token<'a>> {
+        let tag_end = self.rest[1..].find(|c: char| !is_name_char(c))? + 1;
+        if !self.rest[tag_end..].starts_with('$') {
+            return None;
         }
-        content
+        let (tag, content) = self.rest.split_at(tag_end + 1);
+        let end = content.find(tag)?;
+        self.rest = &content[end + tag.len()..];
+        Some(Token::String(Cow::Borrowed(&content[..end])))
     }
 }
 
-fn is_name_start(c: char) -> bool {
+fn is_name_char(c: char) -> bool {
     c.is_alphanumeric() || c == '_'
 }
--- a/crates/clickhouse/src/sql/with_clause.rs
+++ b/crates/clickhouse/src/sql/with_clause.rs
@@ -34,7 +34,7 @@
     let ends_expression = match previous {
         Token::Name(_) | Token::QuotedName(_) | Token::String(_) => true,
         Token::Sign(sign) => [')', ']', '}'].contains(sign),
-        Token::Dot => false,
+        Token::Dot | Token::Unterminated => false,
     };
     ends_expression && tokens[index].is_keyword(&["as"])
 }
@@ -58,13 +58,16 @@
     }
 }
 
-/// The index after a token, or after the closing bracket if the token is an opening one; `None` if that bracket is missing.
+/// The index after a token, or after the closing bracket if the token is an opening one; `None` if that bracket is missing, or if
+/// a server may split the text differently.
 fn next_token(tokens: &[Token], index: usize) -> Option<usize> {
     let mut depth = 0_usize;
     for (offset, token) in tokens[index..].iter().enumerate() {
         match token {
             Token::Sign('(' | '[' | '{') => depth += 1,
             Token::Sign(')' | ']' | '}') => depth = depth.checked_sub(1)?,
+            Token::Sign(sign) if !is_operator(*sign) => return None,
+            Token::Unterminated => return None,
             _ => {}
         }
         if depth == 0 {
@@ -73,3 +76,9 @@
     }
     None
 }
+
+/// Whether a character is part of an operator or separates expressions. Others, such as typographic quotes, begin a literal on some
+/// servers only.
+fn is_operator(sign: char) -> bool {
+    "+-*/%=<>!|?:,;^@&~".contains(sign)
+}
--- a/crates/clickhouse/tests/sql.rs
+++ b/crates/clickhouse/tests/sql.rs
@@ -98,6 +98,45 @@
     }
 }
 
+// Guards against an INSERT that counts as a read because its literals or comments are taken to end elsewhere than on the server.
+#[test]
+fn insert_is_found_behind_every_kind_of_literal_and_comment() {
+    for insert in [
+        r#"WITH 1 AS "a\"" INSERT INTO t SELECT 1, "b AS c SELECT ""#,
+        r"WITH 1 AS `a\`` INSERT INTO t SELECT 1, `b AS c SELECT `",
+        "WITH $h$ ' $h$ AS a INSERT INTO t SELECT a, ' AS c SELECT '",
+        "WITH $$ \" $$ AS a INSERT INTO t SELECT a, \" AS c SELECT \"",
+        "/* /* */ SELECT 1 */ INSERT INTO t SELECT 2",
+        "WITH 1 AS a /* /* */ SELECT 1 */ INSERT INTO t SELECT 2",
+        "#! SELECT\n# SELECT\nINSERT INTO t SELECT 2",
+    ] {
+        let scanned = Statement::scan(insert);
+        assert!(!scanned.is_read && scanned.is_insert, "{insert}");
+    }
+    // Servers differ on these, or return a syntax error.
+    for uncertain in [
+        "WITH \u{2018} AS a SELECT \u{2019} AS b INSERT INTO t SELECT b",
+        "WITH 1 AS a #SELECT\n SELECT a",
+        "/* /* */ SELECT 1",
+        "'SELECT 1",
+    ] {
+        let scanned = Statement::scan(uncertain);
+        assert!(!scanned.is_idempotent && !scanned.is_empty, "{uncertain}");
+    }
+}
+
+#[test]
+fn read_is_found_behind_every_kind_of_literal_and_comment() {
+    for read in [
+        r#"WITH "a\"b" AS x, `c``d` AS y, 'e\'f''g' AS z SELECT x"#,
+        "WITH $$'$$ AS a, $tag$ INSERT INTO $t$ $tag$ AS b SELECT a",
+        "/* a /* b */ c */ SELECT 1",
+        "#!/usr/bin/clickhouse\n# comment\n--comment\nSELECT $1",
+    ] {
+        assert!(Statement::scan(read).is_read, "{read}");
+    }
+}
+
 #[test]
 fn statements_with_session_effects_are_recognized() {
     for stateful in [
