ClickHouse: a statement counts as a read only if its end was scanned

Cause: the proof "begins with a read's keyword" ends before the statement does.

Change: scanning says whether the part that it saw is decisive. Where it is not, a second scan reads up to 256 KB; where that does not show the end, the statement is a write, and a KILL is refused. Two statements in one are a write without a class for deduplicated inserts, and bind their session. `verb` holds what `Statement::scan` decided inline.

--- a/crates/clickhouse/src/sql/kill.rs
+++ b/crates/clickhouse/src/sql/kill.rs
@@ -28,6 +28,14 @@
             options: options.words.join(" "),
         }
     }
+
+    /// The same statement, unsupported unless `is_supported`.
+    pub(super) fn supported_if(self, is_supported: bool) -> KillQuery {
+        KillQuery {
+            ids: self.ids.filter(|_| is_supported),
+            ..self
+        }
+    }
 }
 
 /// The condition after WHERE.
--- a/crates/clickhouse/src/sql/mod.rs
+++ b/crates/clickhouse/src/sql/mod.rs
@@ -1,39 +1,40 @@
 //! Scans statements as far as routing needs: their kind, the tables that they name, and their effect on a session.
 //!
-//! This is not an SQL parser: it tokenizes the first [`MAX_SCANNED_BYTES`] and recognizes the keywords that statements
-//! start with, or that follow their WITH clause. An unrecognized statement is treated as a write that must not run twice.
+//! This is not an SQL parser: it tokenizes a statement's first part and recognizes the keywords that statements start with, or that
+//! follow their WITH clause. An unrecognized statement is treated as a write that must not run twice, and so is one whose end was
+//! not scanned.
 //!
 //! | module | purpose |
 //! | --- | --- |
 //! | `tokenizer` | splits a statement into tokens |
+//! | `verb` | what a statement does, by its first keywords |
 //! | `with_clause` | the statement after a WITH clause |
 //! | `tables` | the tables that a statement names |
+//! | `parallel` | statements that run in parallel with another |
 //! | `kill` | KILL QUERY |
 
 mod kill;
+mod parallel;
 mod tables;
 mod tokenizer;
+mod verb;
 mod with_clause;
 
 pub use kill::KillQuery;
 
 use crate::session::SessionEffect;
+use std::borrow::Cow;
 use tokenizer::{tokenize, Token};
+use verb::Verb;
 
-/// Number of bytes of a statement that are scanned. Longer text contains rows, or exceeds the server's default limit on
-/// the size of a query.
-pub const MAX_SCANNED_BYTES: usize = 16 * 1024;
-
-const READ_KEYWORDS: &[&str] = &[
-    "select", "show", "describe", "desc", "exists", "explain", "check",
-];
-/// Keywords of reads after a WITH clause.
-const READ_KEYWORDS_AFTER_WITH: &[&str] = &["select", "from"];
-const SET_KEYWORDS: &[&str] = &["set", "use"];
-const CREATE_KEYWORDS: &[&str] = &["create", "replace"];
-const TRANSACTION_KEYWORDS: &[&str] = &["begin", "commit", "rollback"];
-/// Token offsets from CREATE at which TEMPORARY may occur: `CREATE OR REPLACE TEMPORARY TABLE`.
-const TEMPORARY_OFFSETS: std::ops::Range<usize> = 1..4;
+/// Number of bytes of a statement that are scanned first. Longer text is usually rows.
+pub const USUAL_SCANNED_BYTES: usize = 16 * 1024;
+/// Number of bytes that are scanned if the first part does not show what a statement does: the server's default limit on the size
+/// of a statement without its rows (`max_query_size`).
+pub const MAX_SCANNED_BYTES: usize = 256 * 1024;
+/// Number of tokens from the keyword that decides what a statement does up to which others may change its meaning, as in
+/// `CREATE OR REPLACE TEMPORARY TABLE`.
+const DECIDING_TOKENS: usize = 5;
 
 /// The properties of a statement that routing needs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -54,53 +55,83 @@
     pub kill: Option<KillQuery>,
     /// The statement has no tokens.
     pub is_empty: bool,
+    /// The scanned part does not show what the statement does; a longer part may.
+    pub is_undecided: bool,
+}
+
+/// The start of a statement's text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatementStart<'a> {
+    /// The text.
+    pub text: Cow<'a, str>,
+    /// Whether this is the complete text.
+    pub is_complete: bool,
+}
+
+impl StatementStart<'_> {
+    /// At most `max_bytes` of a complete text, rounded down to a character boundary.
+    pub fn of(text: &str, max_bytes: usize) -> StatementStart<'_> {
+        let mut end = text.len().min(max_bytes);
+        while !text.is_char_boundary(end) {
+            end -= 1;
+        }
+        StatementStart {
+            text: Cow::Borrowed(&text[..end]),
+            is_complete: end == text.len(),
+        }
+    }
 }
 
 impl Statement {
-    /// Scans a statement or the first part of one.
+    /// Scans a complete statement, up to [`MAX_SCANNED_BYTES`].
     pub fn scan(text: &str) -> Statement {
-        let text = scanned_part(text);
-        let tokens = tokenize(text);
+        let statement = Statement::scan_start(&StatementStart::of(text, USUAL_SCANNED_BYTES));
+        if statement.is_undecided {
+            Statement::scan_start(&StatementStart::of(text, MAX_SCANNED_BYTES))
+        } else {
+            statement
+        }
+    }
+
+    /// Scans the start of a statement.
+    pub fn scan_start(start: &StatementStart) -> Statement {
+        let tokens = tokenize(&start.text);
         let Some(main) = MainKeyword::find(&tokens) else {
             return Statement {
-                is_empty: tokens.is_empty(),
+                is_empty: tokens.is_empty() && start.is_complete,
+                is_undecided: !start.is_complete,
                 table_group: tables::table_group(&tokens),
                 ..Statement::default()
             };
         };
         let tokens_from_main = &tokens[main.index..];
-        let has_keyword = |offset: usize, keywords: &[&str]| {
-            let token = tokens_from_main.get(offset);
-            token.is_some_and(|t| t.is_keyword(keywords))
-        };
-        let is_read = if main.is_after_with {
-            has_keyword(0, READ_KEYWORDS_AFTER_WITH)
-        } else {
-            has_keyword(0, READ_KEYWORDS)
-        };
-        let is_set = has_keyword(0, SET_KEYWORDS);
-        let is_kill = has_keyword(0, &["kill"]) && has_keyword(1, &["query"]);
-        let is_temporary = |offset| has_keyword(offset, &["temporary"]);
-        let creates_temporary =
-            has_keyword(0, CREATE_KEYWORDS) && TEMPORARY_OFFSETS.into_iter().any(is_temporary);
-        let leaves_state = is_set || creates_temporary || has_keyword(0, TRANSACTION_KEYWORDS);
+        let verb = Verb::parse(tokens_from_main, main.is_after_with);
+        let is_compound = parallel::has_parallel_statements(tokens_from_main);
+        // The part that is not scanned could begin another statement.
+        let is_single = start.is_complete && !is_compound;
+        let is_short = tokens_from_main.len() < DECIDING_TOKENS;
+        let may_be_idempotent = verb.is_idempotent() && !is_compound;
         Statement {
-            is_read,
-            is_idempotent: is_read || is_set || is_kill,
-            is_insert: has_keyword(0, &["insert"]),
-            session_effect: if leaves_state {
+            is_read: verb == Verb::Read && is_single,
+            is_idempotent: verb.is_idempotent() && is_single,
+            is_insert: verb == Verb::Insert && !is_compound,
+            session_effect: if verb.leaves_state() || is_compound {
                 SessionEffect::LeavesState
             } else {
                 SessionEffect::None
             },
-            written_table: if is_read {
+            written_table: if verb == Verb::Read {
                 None
             } else {
                 tables::written_table(tokens_from_main)
             },
             table_group: tables::table_group(&tokens),
-            kill: is_kill.then(|| KillQuery::parse(text, tokens_from_main)),
+            kill: (verb == Verb::Kill).then(|| {
+                let kill = KillQuery::parse(&start.text, tokens_from_main);
+                kill.supported_if(is_single)
+            }),
             is_empty: false,
+            is_undecided: !start.is_complete && (is_short || may_be_idempotent),
         }
     }
 }
@@ -133,15 +164,6 @@
     }
 }
 
-/// The first [`MAX_SCANNED_BYTES`], rounded down to a character boundary.
-fn scanned_part(text: &str) -> &str {
-    let mut end = text.len().min(MAX_SCANNED_BYTES);
-    while !text.is_char_boundary(end) {
-        end -= 1;
-    }
-    &text[..end]
-}
-
 /// The number of the table group that a statement names: 4 for a table in the database `sales_4`, 0 if there is none.
 pub fn table_group(statement: &str) -> u32 {
     tables::table_group(&tokenize(statement))
--- a/crates/clickhouse/tests/sql.rs
+++ b/crates/clickhouse/tests/sql.rs
@@ -1,7 +1,9 @@
 //! Scanning of statements.
 
 use driftfront_clickhouse::session::SessionEffect;
-use driftfront_clickhouse::sql::{table_group, Statement, MAX_SCANNED_BYTES};
+use driftfront_clickhouse::sql::{
+    table_group, Statement, StatementStart, MAX_SCANNED_BYTES, USUAL_SCANNED_BYTES,
+};
 
 #[test]
 fn reads_and_written_tables_are_recognized() {
@@ -137,6 +139,98 @@
     }
 }
 
+// Guards against a statement that counts as a read, a setting or a KILL though another one that writes runs with it.
+#[test]
+fn statement_with_a_parallel_one_is_no_read() {
+    for first in [
+        "SELECT 1",
+        "SHOW TABLES",
+        "SET a = 1",
+        "WITH 1 AS a SELECT a",
+        "(SELECT 1)",
+    ] {
+        let statement = format!("{first} PARALLEL WITH INSERT INTO t SELECT 1");
+        let scanned = Statement::scan(&statement);
+        assert!(!scanned.is_read && !scanned.is_idempotent, "{statement}");
+    }
+    let kill = "KILL QUERY WHERE query_id = 'a' SYNC PARALLEL WITH INSERT INTO t SELECT x";
+    assert_eq!(Statement::scan(kill).kill.expect("a kill").ids, None);
+    let insert = "INSERT INTO t VALUES (1) PARALLEL WITH ALTER TABLE t DELETE WHERE 1";
+    assert!(!Statement::scan(insert).is_insert);
+    for read in [
+        "SELECT count() FROM t GROUP BY parallel WITH TOTALS",
+        "SELECT 1 AS parallel, 'PARALLEL WITH INSERT' AS b",
+        "SELECT * FROM t ORDER BY parallel WITH FILL",
+    ] {
+        assert!(Statement::scan(read).is_read, "{read}");
+    }
+}
+
+// Guards against a decision by the first part of a statement that the remaining part contradicts.
+#[test]
+fn statement_that_begins_with_a_long_part_is_scanned_further() {
+    let long = "x".repeat(USUAL_SCANNED_BYTES);
+    for (statement, is_read, table) in [
+        (format!("WITH '{long}' AS a SELECT a"), true, None),
+        (
+            format!("WITH '{long}' AS a INSERT INTO t SELECT a"),
+            false,
+            Some("t"),
+        ),
+        (format!("/* {long} */ SELECT 1"), true, None),
+        (
+            format!("/* {long} */ INSERT INTO t SELECT 1"),
+            false,
+            Some("t"),
+        ),
+        (format!("SELECT '{long}'"), true, None),
+        (
+            format!("SELECT '{long}' PARALLEL WITH INSERT INTO t SELECT 1"),
+            false,
+            None,
+        ),
+    ] {
+        let scanned = Statement::scan(&statement);
+        let end = &statement[statement.len() - 30..];
+        assert_eq!(
+            (scanned.is_read, scanned.is_empty),
+            (is_read, false),
+            "{end}"
+        );
+        assert_eq!(scanned.written_table.as_deref(), table, "{end}");
+    }
+    let kill = format!("KILL QUERY WHERE query_id = 'a' /* {long} */ OR 1");
+    assert_eq!(Statement::scan(&kill).kill.expect("a kill").ids, None);
+}
+
+#[test]
+fn statement_is_no_read_while_its_end_is_unknown() {
+    let unknown_end = |text: &'static str| {
+        Statement::scan_start(&StatementStart {
+            text: text.into(),
+            is_complete: false,
+        })
+    };
+    for text in [
+        "",
+        "-- x",
+        "SELECT 1",
+        "WITH 1 AS a",
+        "SET a = 1",
+        "KILL QUERY WHERE 1",
+        "CREATE",
+    ] {
+        let scanned = unknown_end(text);
+        assert!(
+            scanned.is_undecided && !scanned.is_idempotent && !scanned.is_empty,
+            "{text}"
+        );
+    }
+    assert!(!unknown_end("INSERT INTO t FORMAT CSV").is_undecided);
+    let too_long = format!("SELECT '{}'", "x".repeat(MAX_SCANNED_BYTES));
+    assert!(!Statement::scan(&too_long).is_idempotent);
+}
+
 #[test]
 fn statements_with_session_effects_are_recognized() {
     for stateful in [
