ClickHouse: the text in the URL and in the body is scanned as one statement

Cause: where the URL had text, the body was taken for rows. The server appends the body to the URL's text after a line feed, as its page on the HTTP interface documents, so the proof that a statement only reads ended with the URL: `?query=SELECT 1` with `PARALLEL WITH INSERT ...` in the body was a read and KILL's condition could go on in the body. Of a statement that is given several times (`query` twice, or in URL and form) only one was scanned. A body that decodes to a point, or whose rest is still to come, passed for a complete one.

Blocks behind a content coding are read from the decoded body at any size (code 271 from 16 KB on before).

--- a/crates/clickhouse/src/coding/decoder.rs
+++ b/crates/clickhouse/src/coding/decoder.rs
@@ -87,23 +87,40 @@
 /// Number of input bytes decoded at a time, so that output before an error is kept.
 const PREFIX_STEP_BYTES: usize = 512;
 
+/// The start of a decoded body.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DecodedStart {
+    /// The decoded bytes.
+    pub bytes: Vec<u8>,
+    /// Whether all of `compressed` was decoded without an error.
+    pub is_complete: bool,
+}
+
 /// Decodes the start of a compressed body: at most `max_bytes` of output, up to the end of `compressed` or an error.
-pub fn decompress_prefix(coding: Coding, compressed: &[u8], max_bytes: usize) -> Vec<u8> {
+pub fn decompress_start(coding: Coding, compressed: &[u8], max_bytes: usize) -> DecodedStart {
     let buffer = BoundedBuffer {
         bytes: Vec::new(),
         max_bytes,
     };
     let Ok(mut decoder) = Decoder::new(coding, buffer) else {
-        return Vec::new();
+        return DecodedStart {
+            bytes: Vec::new(),
+            is_complete: false,
+        };
     };
-    for step in compressed.chunks(PREFIX_STEP_BYTES) {
-        if decoder.push(step).is_err() {
-            break;
-        }
+    let mut steps = compressed.chunks(PREFIX_STEP_BYTES);
+    let has_decoded_all = steps.all(|step| decoder.push(step).is_ok());
+    // The stream is often incomplete, which is no error here; the call flushes the decoder.
+    let is_complete = decoder.finish().is_ok() && has_decoded_all;
+    DecodedStart {
+        bytes: decoder.get_ref().bytes.clone(),
+        is_complete,
     }
-    // The stream is usually incomplete, which is no error here; the call flushes the decoder.
-    let _ = decoder.finish();
-    decoder.get_ref().bytes.clone()
+}
+
+/// The bytes of [`decompress_start`].
+pub fn decompress_prefix(coding: Coding, compressed: &[u8], max_bytes: usize) -> Vec<u8> {
+    decompress_start(coding, compressed, max_bytes).bytes
 }
 
 /// A writer that fails once it holds `max_bytes`.
--- a/crates/clickhouse/src/coding/mod.rs
+++ b/crates/clickhouse/src/coding/mod.rs
@@ -8,7 +8,7 @@
 mod decoder;
 mod lz4_frame;
 
-pub use decoder::{decompress_prefix, Decoder};
+pub use decoder::{decompress_prefix, decompress_start, DecodedStart, Decoder};
 
 use std::io::{self, Write};
 
--- a/crates/clickhouse/tests/request.rs
+++ b/crates/clickhouse/tests/request.rs
@@ -66,6 +66,135 @@
     }
 }
 
+// Guards against a statement that counts as a read by its part in the URL while its part in the body writes.
+#[test]
+fn statement_in_url_and_body_is_one_statement() {
+    for (target, body, is_read, table) in [
+        (
+            "/?query=WITH+1+AS+a",
+            "INSERT INTO t SELECT a",
+            false,
+            Some("t"),
+        ),
+        (
+            "/?query=SELECT+1",
+            "PARALLEL WITH INSERT INTO t SELECT 1",
+            false,
+            None,
+        ),
+        (
+            "/?query=--+note",
+            "INSERT INTO t VALUES (1)",
+            false,
+            Some("t"),
+        ),
+        (
+            "/?query=/*+note",
+            "*/ INSERT INTO t VALUES (1)",
+            false,
+            Some("t"),
+        ),
+        ("/?query=INSERT+INTO", "t VALUES (1)", false, Some("t")),
+        ("/?query=WITH+1+AS+a", "SELECT a", true, None),
+        ("/?query=SELECT+1", ", 2", true, None),
+        ("/?query=--+note", "SELECT 1", true, None),
+        ("/?query=SEL", "ECT 1", false, None),
+    ] {
+        let read = query("POST", target, &[], body.as_bytes()).expect(target);
+        let statement = &read.statement;
+        assert_eq!(statement.is_read, is_read, "{target} {body}");
+        assert_eq!(statement.written_table.as_deref(), table, "{target} {body}");
+        let get = query("GET", target, &[], body.as_bytes());
+        assert_eq!(get.is_ok(), is_read, "{target} {body}");
+    }
+    let kill = "/?query=KILL+QUERY+WHERE+query_id%3D'a'";
+    let ids = |body: &[u8]| {
+        let kill = query("POST", kill, &[], body)
+            .expect("a kill")
+            .statement
+            .kill;
+        kill.expect("a kill").ids
+    };
+    assert_eq!((ids(b"OR 1"), ids(b"SYNC")), (None, Some(vec!["a".into()])));
+}
+
+#[test]
+fn statement_in_url_continues_in_a_compressed_body() {
+    let insert = b"INSERT INTO t SELECT a";
+    let gzip = driftfront_clickhouse::coding::compress(Coding::Gzip, insert).expect("compresses");
+    let target = "/?query=WITH+1+AS+a";
+    let read = query("POST", target, &[("Content-Encoding", "gzip")], &gzip).expect("a query");
+    assert_eq!(read.statement.written_table.as_deref(), Some("t"));
+    // The engine decides about a body that can't be read here.
+    for coding in ["snappy", "gzip"] {
+        let read = query("POST", target, &[("Content-Encoding", coding)], insert);
+        assert!(!read.expect("a query").statement.is_idempotent, "{coding}");
+    }
+}
+
+// Guards against one of several texts that counts as the statement while the server runs another one.
+#[test]
+fn statement_given_several_times_reads_only_if_each_reads() {
+    let form = ("Content-Type", "multipart/form-data; boundary=b");
+    let field = |text: &str| {
+        format!("--b\r\nContent-Disposition: form-data; name=\"query\"\r\n\r\n{text}\r\n--b--")
+    };
+    let in_form = |target, text: &str| {
+        let read = query("POST", target, &[form], field(text).as_bytes()).expect(target);
+        read.statement.is_read
+    };
+    assert!(!in_form("/?query=SELECT+1", "INSERT INTO t VALUES (1)"));
+    assert!(in_form("/?query=SELECT+1", "SELECT 1"));
+    let in_url = |target| {
+        query("POST", target, &[], b"")
+            .expect(target)
+            .statement
+            .is_read
+    };
+    assert!(!in_url("/?query=INSERT+INTO+t&query=SELECT+1"));
+    assert!(!in_url("/?query=SELECT+1&query=INSERT+INTO+t+SELECT+1"));
+    assert!(in_url("/?query=&query=SELECT+1"));
+}
+
+// Guards against a statement whose end is unknown, or that is decoded differently elsewhere, and that counts as a read.
+#[test]
+fn statement_is_no_read_if_its_body_is_incomplete() {
+    let select = b"SELECT 1";
+    let streamed = Request {
+        has_more_body: true,
+        ..request("POST", "/", &[], select)
+    };
+    let Ok(ClientRequest::Query(streamed)) = parse(&streamed) else {
+        panic!("a query");
+    };
+    assert!(!streamed.statement.is_idempotent);
+    let mut cut =
+        driftfront_clickhouse::coding::compress(Coding::Gzip, select).expect("compresses");
+    let gzip = [("Content-Encoding", "gzip")];
+    let is_read = |body: &[u8]| {
+        query("POST", "/", &gzip, body)
+            .expect("a query")
+            .statement
+            .is_read
+    };
+    assert!(is_read(&cut));
+    cut.extend(b"trailing bytes");
+    assert!(!is_read(&cut));
+    let blocks = [compress(Method::Lz4, select), b"cut".to_vec()].concat();
+    let read = query("POST", "/?decompress=1", &[], &blocks).expect("a query");
+    assert!(!read.statement.is_read);
+}
+
+#[test]
+fn long_body_in_blocks_with_a_content_coding_is_read() {
+    let long = format!("INSERT INTO uni_4.t VALUES {}", "('a'),".repeat(60_000));
+    let blocks = compress(Method::None, long.as_bytes());
+    let gzip = driftfront_clickhouse::coding::compress(Coding::Gzip, &blocks).expect("compresses");
+    let headers = [("Content-Encoding", "gzip")];
+    let read = query("POST", "/?decompress=1", &headers, &gzip).expect("a query");
+    assert_eq!(read.statement.written_table.as_deref(), Some("uni_4.t"));
+}
+
 #[test]
 fn invalid_requests_get_an_error_code() {
     let code = |method, target, headers: &[(&str, &str)], body: &[u8]| {
--- a/crates/coordinator/tests/repeated_statements.rs
+++ b/crates/coordinator/tests/repeated_statements.rs
@@ -37,17 +37,40 @@
     site.request_log.assert_rules(inserts.len());
 }
 
+// Guards against an INSERT in the body that is sent again because the part of its statement in the URL looks like a read.
+#[test]
+fn insert_split_between_url_and_body_is_sent_once_when_its_engine_is_lost() {
+    let site = Site::start(2);
+    let in_url = "/?query=WITH+1+AS+a+%2F*+standin:+cut+*%2F";
+    let response = site.request(in_url, "INSERT INTO uni_4.split SELECT a");
+    assert_sent_once(&site, &response, "uni_4.split");
+    site.request_log.assert_rules(1);
+}
+
+// Guards against an INSERT that is sent again because another statement, which only reads, precedes it.
+#[test]
+fn insert_parallel_to_a_read_is_sent_once_when_its_engine_is_lost() {
+    let site = Site::start(2);
+    let list = "1, ".repeat(10_000);
+    let response = site.query(&format!(
+        "SELECT 'both' {CUT} WHERE 1 IN ({list}1) PARALLEL WITH INSERT INTO uni_4.t SELECT 1"
+    ));
+    assert_sent_once(&site, &response, "'both'");
+}
+
 #[test]
 fn read_after_a_with_clause_is_retried_when_its_engine_is_lost() {
     let site = Site::start(2);
     let reads = [
         "WITH 'INSERT INTO t' AS a SELECT 1",
         "WITH 1 AS insert SELECT 2",
+        &format!("SELECT 3 /* {} */", "x".repeat(100_000)),
     ];
     for read in reads {
-        let response = site.query(&format!("{read} {CUT_FIRST}"));
-        assert_eq!(response.status, 200, "{read}");
-        assert_eq!(site.request_log.of(read).len(), 2, "{read}");
+        let response = site.query(&format!("{CUT_FIRST} {read}"));
+        let start = &read[..read.len().min(20)];
+        assert_eq!(response.status, 200, "{start}");
+        assert_eq!(site.request_log.of(start).len(), 2, "{start}");
     }
     site.request_log.assert_rules(reads.len());
 }
--- a/crates/mock-servers/src/engine/query.rs
+++ b/crates/mock-servers/src/engine/query.rs
@@ -8,8 +8,8 @@
 use super::state::{Session, State};
 use driftfront_clickhouse::coding::{self, Coding};
 use driftfront_clickhouse::credentials::Credentials;
+use driftfront_clickhouse::multipart;
 use driftfront_clickhouse::params::Params;
-use driftfront_clickhouse::{multipart, sql::Statement};
 use driftfront_http::{header, Request};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -201,30 +201,38 @@
     }
 }
 
-/// Reads the statement of a request from a form's field, the URL, or the start of the body.
+/// Reads the statement of a request from a form's field, the URL, the start of the body, or both the URL and the body, between
+/// which the server inserts a line feed.
 fn read_statement(request: &Request, params: &Params) -> Result<StatementText, Exception> {
     let form = read_form(request)?;
     let in_url = params.get("query").unwrap_or_default();
-    let is_in_body = in_url.trim().is_empty() && form.is_empty();
+    let has_rows_in_body = is_form(request) || sql::inserted_table(in_url).is_some();
+    let continues_in_body = !request.body.is_empty() && !has_rows_in_body;
+    let is_in_body = form.is_empty() && (in_url.trim().is_empty() || continues_in_body);
     let text = if !form.is_empty() {
         form
     } else if is_in_body {
-        read_body_start(request, params)?
+        format!("{in_url}\n{}", read_body_start(request, params)?)
     } else {
         in_url.to_string()
     };
-    if Statement::scan(&text).is_empty {
+    if sql::is_empty(&text) {
         return Err(Exception::new(code::SYNTAX_ERROR, "Empty query"));
     }
+    let text = text.trim_start().to_string();
     Ok(StatementText { text, is_in_body })
 }
 
+fn is_form(request: &Request) -> bool {
+    header(&request.headers, "content-type").is_some_and(multipart::is_form)
+}
+
 /// Reads the field `query` of a form. The result is empty if there is none.
 fn read_form(request: &Request) -> Result<String, Exception> {
-    let content_type = header(&request.headers, "content-type").unwrap_or_default();
-    if !multipart::is_form(content_type) {
+    if !is_form(request) {
         return Ok(String::new());
     }
+    let content_type = header(&request.headers, "content-type").unwrap_or_default();
     let malformed =
         |reason: String| Exception::new(code::BAD_ARGUMENTS, format!("multipart: {reason}"));
     let boundary =
--- a/crates/mock-servers/src/engine/sql/mod.rs
+++ b/crates/mock-servers/src/engine/sql/mod.rs
@@ -116,6 +116,11 @@
     strip_words(insert, &["insert", "into"])
 }
 
+/// Whether a statement consists of comments and white space.
+pub(super) fn is_empty(text: &str) -> bool {
+    without_comments(text).trim().is_empty()
+}
+
 /// Whether a statement may run in read-only mode. This check shares no code with the coordinator's.
 pub(super) fn is_read_only(text: &str) -> bool {
     let text = without_comments(text);
