ClickHouse: a write is sent once also in a class of repeatable requests

Cause: whether a statement may run twice was taken from its class alone, and nothing made sure that the class of writes is one that never runs twice. `clickhouse.write` is the first class where the settings name none, an operator's file without `once=#true` has no such class, and a client that names `report` for an INSERT got repeats with the longer deadline.

Change: a request carries `runs_once`, which the ClickHouse frontend sets for each statement that is not known to be a read, SET, USE or KILL. Scheduler, core and node then treat it as one of a class that never runs twice; a class with deduplication keys is not affected, nor is the platform's protocol, where the class states the effect. No configuration is refused.

--- a/crates/coordinator/src/frontends/clickhouse/query.rs
+++ b/crates/coordinator/src/frontends/clickhouse/query.rs
@@ -152,6 +152,7 @@
         table_group: query.statement.table_group,
         ordering_key: ordering_key(query),
         idempotency_key: query.deduplication_token.as_deref().map(Rc::from),
+        runs_once: !query.statement.is_idempotent,
         parameters: engine_parameters(query, url_parameters),
         sticky_session,
         session_lost_error: is_exclusive
--- a/crates/coordinator/src/node/clients/closing.rs
+++ b/crates/coordinator/src/node/clients/closing.rs
@@ -66,7 +66,7 @@
         self.record_outcome(now, request, RequestOutcome::ClientDisconnected);
         self.clients.remove_requester(request);
         let accepted = self.core.accepted(request);
-        let idempotency = accepted.and_then(|a| self.idempotency(a.request.class));
+        let idempotency = accepted.and_then(|a| self.idempotency(a.request));
         let is_uploading = self.engines.upload_connection(request).is_some();
         self.core.client_left(now, request);
         // Cancels reads on the engine, and attempts that wait there for a body that will not arrive.
--- a/crates/coordinator/src/node/commands.rs
+++ b/crates/coordinator/src/node/commands.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::frontends::{ConnectionAction, ResponseWriter};
 use crate::service_window::RequestOutcome;
-use driftfront_core::{AttemptKey, Command, EngineId, Micros, RequestId};
+use driftfront_core::{AttemptKey, Command, EngineId, Micros, ParsedRequest, RequestId};
 use driftfront_scheduler::Idempotency;
 
 impl Node {
@@ -101,13 +101,19 @@
     }
 
     /// Whether requests of a class may run more than once.
-    pub(super) fn idempotency(&self, class: u16) -> Option<Idempotency> {
+    fn class_idempotency(&self, class: u16) -> Option<Idempotency> {
         let class = self.config.settings.classes.get(usize::from(class));
         class.map(|c| c.idempotency)
     }
 
+    /// Whether a request may run more than once.
+    pub(super) fn idempotency(&self, request: &ParsedRequest) -> Option<Idempotency> {
+        let class = self.class_idempotency(request.class)?;
+        Some(request.idempotency(class))
+    }
+
     /// Whether requests of a class must not run more than once.
     pub(super) fn is_non_idempotent(&self, class: u16) -> bool {
-        self.idempotency(class) == Some(Idempotency::NotIdempotent)
+        self.class_idempotency(class) == Some(Idempotency::NotIdempotent)
     }
 }
--- a/crates/coordinator/src/node/engines/attempts.rs
+++ b/crates/coordinator/src/node/engines/attempts.rs
@@ -6,6 +6,7 @@
 use super::pool::ConnectionRequest;
 use crate::node::{ConnectionId, Node};
 use driftfront_core::{AttemptKey, Cause, EngineId, Micros, Outcome};
+use driftfront_scheduler::Idempotency;
 
 impl Node {
     /// Queues an attempt on a connection to its engine; if that is not possible, the attempt fails at once.
@@ -20,7 +21,7 @@
             return;
         };
         let request_id = request.name.clone();
-        let is_exclusive = self.is_non_idempotent(request.class);
+        let is_exclusive = self.idempotency(request) == Some(Idempotency::NotIdempotent);
         let wanted = ConnectionRequest {
             engine,
             request_id: Some(&request_id),
--- a/crates/coordinator/src/node/engines/write.rs
+++ b/crates/coordinator/src/node/engines/write.rs
@@ -6,7 +6,7 @@
 use crate::backends::AttemptRequest;
 use crate::config::{Config, Protocol};
 use crate::node::{ConnectionId, EventSource, Node};
-use driftfront_core::{AttemptKey, Cause, Core, Micros, Outcome, Phase, Progress};
+use driftfront_core::{AttemptKey, Cause, Core, Micros, Outcome, ParsedRequest, Phase, Progress};
 use driftfront_scheduler::Idempotency;
 use std::borrow::Cow;
 
@@ -105,7 +105,7 @@
             name: &name_on_engine(&self.config, &self.core, key, &request.name),
             timeout,
             grant_mb: self.core.grant_mb(key),
-            progress_interval: progress_interval(&self.config, request.class),
+            progress_interval: progress_interval(&self.config, request),
         };
         self.engines.start_attempt(now, id, &attempt);
     }
@@ -124,11 +124,11 @@
     }
 }
 
-/// The interval of progress reports for a class. Only idempotent requests have one, as only they can run again elsewhere.
-fn progress_interval(config: &Config, class: u16) -> Option<Micros> {
-    let class = config.settings.classes.get(usize::from(class))?;
+/// The interval of progress reports for a request. Only idempotent ones have one, as only they can run again elsewhere.
+fn progress_interval(config: &Config, request: &ParsedRequest) -> Option<Micros> {
+    let class = config.settings.classes.get(usize::from(request.class))?;
     config
         .settings
         .progress_interval
-        .filter(|_| class.idempotency == Idempotency::Idempotent)
+        .filter(|_| request.idempotency(class.idempotency) == Idempotency::Idempotent)
 }
--- a/crates/coordinator/tests/repeated_statements.rs
+++ b/crates/coordinator/tests/repeated_statements.rs
@@ -1,7 +1,7 @@
 //! Statements are sent again after a failure only if they are known to read: mock engines close the connection of a statement that
 //! requests it, when it may have run.
 
-use driftfront_test_support::coordinator::clickhouse_site::Site;
+use driftfront_test_support::coordinator::clickhouse_site::{Site, SiteOptions};
 use driftfront_test_support::coordinator::Response;
 
 /// Requests that the connection is closed instead of a response.
@@ -58,6 +58,44 @@
     assert_sent_once(&site, &response, "'both'");
 }
 
+// Guards against a write that is sent again because its class, by default or by the client's choice, is one of repeatable requests.
+#[test]
+fn write_in_a_class_of_reads_is_sent_once_when_its_engine_is_lost() {
+    let site = SiteOptions::with_engines(2)
+        .with("\"write\": \"member-load\"", "\"write\": \"lookup\"")
+        .start();
+    for (target, write) in [
+        ("/", "INSERT INTO uni_4.default VALUES (1)"),
+        (
+            "/?driftfront_class=report",
+            "INSERT INTO uni_4.named VALUES (1)",
+        ),
+        ("/?driftfront_class=report", "OPTIMIZE TABLE uni_4.t"),
+    ] {
+        let response = site.request(target, &format!("{write} {CUT}"));
+        assert_sent_once(&site, &response, write);
+    }
+    let read = "SELECT 1";
+    let response = site.request("/?driftfront_class=report", &format!("{read} {CUT_FIRST}"));
+    assert_eq!((response.status, site.request_log.of(read).len()), (200, 2));
+    site.request_log.assert_rules(4);
+}
+
+// Guards against a write that is cancelled half-way when its client leaves, as only a read may be.
+#[test]
+fn write_in_a_class_of_reads_runs_on_when_its_client_disconnects() {
+    let site = Site::start(1);
+    let target = "/?driftfront_class=report";
+    let write = "INSERT INTO uni_4.left VALUES (1) /* standin: sleep_ms=500 */";
+    let client = site.begin(target, write);
+    site.request_log.wait_for("uni_4.left", 1);
+    drop(client);
+    site.request_log.wait_until("the end", |entries| {
+        entries.iter().all(|e| e.end_seq.is_some())
+    });
+    assert!(!site.request_log.of("uni_4.left")[0].client_left);
+}
+
 #[test]
 fn read_after_a_with_clause_is_retried_when_its_engine_is_lost() {
     let site = Site::start(2);
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -68,6 +68,7 @@
         ordering_key: parsed.ordering_key,
         has_idempotency_key: parsed.idempotency_key.is_some(),
         idempotent_until,
+        runs_once: parsed.runs_once,
         sticky_session: parsed.sticky_session,
         client_timeout: parsed.client_timeout,
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -141,9 +141,10 @@
         self.is_shutting_down = true;
     }
 
-    /// Idempotency of a class's queries; `None` if there is no such class.
-    fn idempotency(&self, class: u16) -> Option<Idempotency> {
-        self.class_idempotency.get(usize::from(class)).copied()
+    /// Idempotency of a request; `None` if its class does not exist.
+    fn idempotency(&self, request: &ParsedRequest) -> Option<Idempotency> {
+        let class = self.class_idempotency.get(usize::from(request.class))?;
+        Some(request.idempotency(*class))
     }
 
     /// Number of requests without a final answer.
--- a/crates/core/src/lost_attempts.rs
+++ b/crates/core/src/lost_attempts.rs
@@ -120,7 +120,7 @@
     }
 
     fn may_run_again(&self, request: &Request) -> bool {
-        match self.idempotency(request.parsed.class) {
+        match self.idempotency(&request.parsed) {
             Some(Idempotency::Idempotent) => true,
             Some(Idempotency::WithKey) => request.parsed.idempotency_key.is_some(),
             Some(Idempotency::NotIdempotent) | None => false,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -1,7 +1,7 @@
 //! Requests as parsed by a frontend, and the state kept for each until it is settled.
 
 use crate::attempt::{Attempt, AttemptError};
-use driftfront_scheduler::{EngineId, Micros, Outcome, StickySession};
+use driftfront_scheduler::{EngineId, Idempotency, Micros, Outcome, StickySession};
 use std::fmt;
 use std::rc::Rc;
 
@@ -38,6 +38,8 @@
     /// The client's idempotency key, passed on unchanged, by which engines deduplicate queries. It is the same for all retries of
     /// a request.
     pub idempotency_key: Option<Rc<str>>,
+    /// Whether the statement must not run twice although its class is idempotent: its effect is not known to be the same.
+    pub runs_once: bool,
     /// Time until the client gives up.
     pub client_timeout: Micros,
     /// Names and values of the statement's parameters, passed on unchanged.
@@ -56,6 +58,16 @@
     pub ticket: u64,
 }
 
+impl ParsedRequest {
+    /// The request's idempotency, given that of its class.
+    pub fn idempotency(&self, class: Idempotency) -> Idempotency {
+        match class {
+            Idempotency::Idempotent if self.runs_once => Idempotency::NotIdempotent,
+            class => class,
+        }
+    }
+}
+
 impl fmt::Debug for ParsedRequest {
     /// Omits the statement and its parameters, which may contain secrets.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -80,6 +92,7 @@
             ordering_key: None,
             tenant: None,
             idempotency_key: None,
+            runs_once: false,
             client_timeout: 0,
             parameters: Rc::new([]),
             statement: Rc::new([]),
--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -111,7 +111,7 @@
 
     fn answer_now(&mut self, now: Micros, id: RequestId) {
         let must_fail = self.requests.get(&id).is_some_and(|request| {
-            let idempotency = self.idempotency(request.parsed.class);
+            let idempotency = self.idempotency(&request.parsed);
             idempotency != Some(Idempotency::Idempotent)
                 && request.attempts.iter().any(may_have_run)
         });
--- a/crates/core/tests/golden.rs
+++ b/crates/core/tests/golden.rs
@@ -173,6 +173,7 @@
                     .as_str()
                     .into()
             }),
+            runs_once: false,
             client_timeout: if dice.chance(3) {
                 dice.below(30 * MS)
             } else {
--- a/crates/scheduler/src/state.rs
+++ b/crates/scheduler/src/state.rs
@@ -83,6 +83,7 @@
     pub(crate) fn idempotency(&self, query: &PendingQuery) -> Idempotency {
         match self.class_of(query).idempotency {
             Idempotency::WithKey if !query.query.has_idempotency_key => Idempotency::NotIdempotent,
+            Idempotency::Idempotent if query.query.runs_once => Idempotency::NotIdempotent,
             idempotency => idempotency,
         }
     }
--- a/crates/scheduler/src/types.rs
+++ b/crates/scheduler/src/types.rs
@@ -49,6 +49,9 @@
     /// An earlier query with the same idempotency key may have run; engines recognize repeats until
     /// this time.
     pub idempotent_until: Option<Micros>,
+    /// The query must not run twice although its class is
+    /// [`Idempotency::Idempotent`](crate::Idempotency::Idempotent).
+    pub runs_once: bool,
     /// Engine that the query is bound to, if any.
     pub sticky_session: Option<StickySession>,
     /// Time from arrival until the client gives up.
--- a/crates/scheduler/tests/coordinators.rs
+++ b/crates/scheduler/tests/coordinators.rs
@@ -88,6 +88,7 @@
             ordering_key: None,
             has_idempotency_key: true,
             idempotent_until: None,
+            runs_once: false,
             sticky_session: None,
             client_timeout: 20 * S,
         };
--- a/crates/scheduler/tests/golden.rs
+++ b/crates/scheduler/tests/golden.rs
@@ -73,6 +73,7 @@
             ordering_key: None,
             has_idempotency_key: true,
             idempotent_until: None,
+            runs_once: false,
             sticky_session: None,
             client_timeout: 60 * S,
         };
--- a/crates/scheduler/tests/rules.rs
+++ b/crates/scheduler/tests/rules.rs
@@ -165,6 +165,28 @@
     }
 }
 
+// Guards against a repeat of a query that must not run twice although its class is idempotent.
+#[test]
+fn query_that_runs_once_is_not_retried_or_rejected_after_a_run() {
+    for (outcome, is_retried) in [
+        (Outcome::Reset, false),
+        (Outcome::Error, false),
+        (Outcome::Unreachable, true),
+    ] {
+        let classes = settings(vec![class(9 * S, 1.0, 1.0)]);
+        let mut harness = SchedulerHarness::new(classes, &[listed(1), listed(2)]);
+        let query = Query {
+            runs_once: true,
+            ..harness.query(0, S, 1)
+        };
+        harness.event(Event::QueryArrived(query));
+        let actions = harness.end(query.id, 0, outcome, 10 * MS);
+        let retries = started_attempts(&actions).len();
+        assert_eq!(retries, usize::from(is_retried), "{outcome:?}");
+        assert_eq!(failed(&actions, query.id), !is_retried, "{outcome:?}");
+    }
+}
+
 #[test]
 fn query_that_errs_everywhere_is_sent_twice_without_ejection() {
     let mut harness = SchedulerHarness::new(
--- a/crates/scheduler/tests/transcript.rs
+++ b/crates/scheduler/tests/transcript.rs
@@ -659,6 +659,7 @@
             ordering_key: dice.chance(50).then(|| dice.below(5)),
             has_idempotency_key: dice.chance(80),
             idempotent_until: dice.chance(10).then(|| self.now + dice.below(3 * S)),
+            runs_once: false,
             sticky_session,
             client_timeout: if dice.chance(2) {
                 dice.below(30 * MS)
--- a/crates/simulator-adapter/src/record.rs
+++ b/crates/simulator-adapter/src/record.rs
@@ -179,6 +179,7 @@
         ordering_key,
         has_idempotency_key: true,
         idempotent_until: None,
+        runs_once: false,
         sticky_session: None,
         client_timeout,
     })
--- a/crates/test-support/src/scheduler.rs
+++ b/crates/test-support/src/scheduler.rs
@@ -139,6 +139,7 @@
             ordering_key: None,
             has_idempotency_key: true,
             idempotent_until: None,
+            runs_once: false,
             sticky_session: None,
             client_timeout: 60 * S,
         }
