--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -108,8 +108,11 @@
 }
 
 /// The model's state of a request.
+#[derive(Default)]
 struct ModelRequest {
     class: u16,
+    /// Whether it may run more than once.
+    is_repeatable: bool,
     name: String,
     key: u64,
     deadline: Micros,
@@ -218,6 +221,7 @@
             format!("c{index}")
         };
         let class = if load { LOAD } else { LOOKUP };
+        let runs_once = ms.is_multiple_of(4);
         let client_timeout = Micros::from(ms) * 1000;
         let engine = EngineId(u64::from(session) % ENGINES);
         let sticky_session = (session > 150).then_some(StickySession {
@@ -229,6 +233,7 @@
             class,
             table_group: 1,
             ordering_key: load.then_some(u64::from(key) + 1),
+            runs_once,
             client_timeout,
             statement: Rc::from(*b"x"),
             sticky_session,
@@ -239,20 +244,13 @@
         let id = self.core.accept_request(self.now, parsed);
         let known = ModelRequest {
             class,
+            is_repeatable: !load && !runs_once,
             name,
             key: u64::from(key) + 1,
             deadline: self.now + client_timeout,
             index,
-            is_answered: false,
-            client_left: false,
-            chunks: 0,
-            may_have_run: false,
-            attempts: 0,
             only_engine: sticky_session.filter(|s| s.is_exclusive).map(|s| s.engine),
-            is_body_forwarded: false,
-            is_cancelled: false,
-            runs: 0,
-            is_settled: false,
+            ..ModelRequest::default()
         };
         assert!(
             self.requests.insert(id, known).is_none(),
@@ -424,7 +422,7 @@
                     let known = &self.requests[&id];
                     assert_eq!(known.chunks, 0, "rejected after a chunk");
                     assert!(
-                        known.class == LOOKUP || !known.may_have_run,
+                        known.is_repeatable || !known.may_have_run,
                         "rejected although it may have run"
                     );
                     self.record_answer(id);
@@ -482,8 +480,8 @@
             "sent under the name of another open request"
         );
         assert!(
-            known.class == LOOKUP || !known.may_have_run,
-            "load retried although it may have run"
+            known.is_repeatable || !known.may_have_run,
+            "retried although it may have run"
         );
         if known.class == LOAD {
             let is_earlier_with_same_key =
