ClickHouse: a refusal by another server is no proof that a query never ran

Cause: an engine's code 202 (too many simultaneous queries) was taken as proof that the query never started, so that also a write may be sent to another engine.

Change: such an exception counts as the engine's error. The mock engine can return one (`remote_error=CODE`).

An engine's own 202 is retried as before. Not changed: 429 and 503 without a code still count as never run.

--- a/crates/clickhouse/src/exception/mod.rs
+++ b/crates/clickhouse/src/exception/mod.rs
@@ -55,6 +55,12 @@
 
 impl std::error::Error for Exception {}
 
+/// Whether an exception was thrown by another server that the query used. Its code then says nothing of the query itself, which has
+/// started.
+pub fn is_from_another_server(text: &str) -> bool {
+    text.contains("Exception: Received from ")
+}
+
 /// Parses the code at the start of an exception's text: `Code: 62. DB::Exception: ...`.
 pub fn parse_code(text: &str) -> Option<u32> {
     let rest = text.trim_start().strip_prefix("Code: ")?;
--- a/crates/clickhouse/tests/exception.rs
+++ b/crates/clickhouse/tests/exception.rs
@@ -1,8 +1,8 @@
 //! Exceptions: error codes and detection in results.
 
 use driftfront_clickhouse::exception::{
-    error_name, find_in_last_lines, find_json_key, find_tagged, http_status, parse_code,
-    tagged_exception, Exception, ERROR_CODES,
+    error_name, find_in_last_lines, find_json_key, find_tagged, http_status,
+    is_from_another_server, parse_code, tagged_exception, Exception, ERROR_CODES,
 };
 
 #[test]
@@ -37,6 +37,15 @@
     assert_eq!(Exception::parse(&own.text), Some(own));
 }
 
+#[test]
+fn exception_of_another_server_is_recognized() {
+    let remote = "Code: 202. DB::Exception: Received from host:9000. DB::Exception: Too many \
+                  simultaneous queries. Maximum: 100. (TOO_MANY_SIMULTANEOUS_QUERIES)";
+    assert!(is_from_another_server(remote));
+    let own = "Code: 202. DB::Exception: Too many simultaneous queries. Maximum: 100.";
+    assert!(!is_from_another_server(own));
+}
+
 #[test]
 fn tagged_exception_with_several_lines_is_found_and_another_tag_in_the_rows_is_ignored() {
     let text = "Code: 241. DB::Exception: Memory\nlimit. (MEMORY_LIMIT_EXCEEDED)";
--- a/crates/coordinator/src/backends/clickhouse/cause.rs
+++ b/crates/coordinator/src/backends/clickhouse/cause.rs
@@ -1,6 +1,8 @@
 //! Maps engine errors to the cause of an attempt's failure.
 
-use driftfront_clickhouse::exception::{classify, ErrorClass, Exception, NETWORK_ERROR};
+use driftfront_clickhouse::exception::{
+    classify, is_from_another_server, ErrorClass, Exception, NETWORK_ERROR,
+};
 use driftfront_clickhouse::result_checker::ResultError;
 use driftfront_core::Cause;
 
@@ -12,6 +14,7 @@
 /// The cause of a failure, given its error code, HTTP status and text.
 pub(super) fn cause_of_error(code: Option<u32>, status: u16, text: &str) -> Cause {
     match classify(code, status) {
+        ErrorClass::Rejected if is_from_another_server(text) => Cause::Engine(text.into()),
         ErrorClass::Rejected => Cause::Rejected,
         ErrorClass::Statement => Cause::Statement(text.into()),
         ErrorClass::Engine => Cause::Engine(text.into()),
--- a/crates/coordinator/tests/repeated_statements.rs
+++ b/crates/coordinator/tests/repeated_statements.rs
@@ -96,6 +96,25 @@
     assert!(!site.request_log.of("uni_4.left")[0].client_left);
 }
 
+// Guards against an INSERT that is sent again because another server, from which it reads, refused a part of it with the code
+// for a query that never ran.
+#[test]
+fn insert_that_another_server_refused_is_sent_once() {
+    let site = Site::start(2);
+    let insert = "INSERT INTO uni_4.copy SELECT * FROM remote('other-server', t)";
+    let response = site.query(&format!("{insert} /* standin: remote_error=202 */"));
+    assert_eq!(site.request_log.of(insert).len(), 1);
+    assert_eq!(
+        (response.status, exception_code(&response)),
+        (500, Some(202))
+    );
+    assert!(response.header("X-Come-Back-Ms").is_none());
+    let read = "SELECT 1";
+    let response = site.query(&format!("{read} /* standin: remote_error=202 first */"));
+    assert_eq!((response.status, site.request_log.of(read).len()), (200, 2));
+    site.request_log.assert_rules(2);
+}
+
 #[test]
 fn read_after_a_with_clause_is_retried_when_its_engine_is_lost() {
     let site = Site::start(2);
--- a/crates/mock-servers/src/engine/exception.rs
+++ b/crates/mock-servers/src/engine/exception.rs
@@ -55,6 +55,12 @@
         Exception::new(code, "As was asked for")
     }
 
+    /// The exception of another server that a query on this one used.
+    pub(super) fn remote(code: u32) -> Exception {
+        let message = "Received from other-server:9000. DB::Exception: As was asked for";
+        Exception::new(code, message)
+    }
+
     /// Formats the exception for a response.
     pub(super) fn text(&self) -> String {
         let (code, message) = (self.code, &self.message);
--- a/crates/mock-servers/src/engine/execute.rs
+++ b/crates/mock-servers/src/engine/execute.rs
@@ -33,6 +33,9 @@
         if let Some(code) = query.faults.number("error") {
             return Err(Exception::requested(code).into());
         }
+        if let Some(code) = query.faults.number("remote_error") {
+            return Err(Exception::remote(code).into());
+        }
         if query.faults.has("cut") {
             self.wait(requested_sleep(query), query)?;
             return Ok(After::Close);
--- a/crates/mock-servers/src/main.rs
+++ b/crates/mock-servers/src/main.rs
@@ -18,7 +18,7 @@
 127.0.0.1:9123. --old: exceptions after rows are plain lines, without a tag. --most: the limit of concurrent statements;
 further ones fail with code 202.
 Faults are requested in a comment of the statement, as in SELECT 1 /* standin: sleep_ms=500 late=241 first */:
-  error=CODE  full  cut  silent  sleep_ms=N  late=CODE [whole]  lie  twice  bad_block  crawl_ms=N
+  error=CODE  remote_error=CODE  full  cut  silent  sleep_ms=N  late=CODE [whole]  lie  twice  bad_block  crawl_ms=N
   silent_after=BYTES  cut_after=BYTES  bad_block_after=BYTES  slow_ms=N  error_after=BYTES (inserts)  first
 ";
 
