ClickHouse: a deduplication token counts only where engines use it

Cause: `insert_deduplication_token` was taken as proof that engines drop repeats, so that an INSERT of the class for deduplicated inserts is sent again after it may have run. ClickHouse documents that the token has no effect with `insert_deduplicate=0`, and that repeats of asynchronous inserts are dropped only with `async_insert_deduplicate=1`; both are settings that clients put into the URL or the statement itself. A client that names that class for another statement had its token count, too.

Change: a query says whether its token counts: for an INSERT, unless a setting in the URL or the statement, as far as it was scanned, turns deduplication off. Otherwise the statement has the class of writes, and no key.

Not covered: settings of the session or of the user.

--- a/crates/clickhouse/src/request/mod.rs
+++ b/crates/clickhouse/src/request/mod.rs
@@ -4,9 +4,11 @@
 //! | --- | --- |
 //! | `query` | a query's parameters, session and credentials |
 //! | `statement` | finds the statement: in the URL, in a form or in the body |
+//! | `deduplication` | whether engines drop repeats of a statement |
 //! | `forwarded` | the parameters and header fields that are forwarded to an engine |
 //! | `error` | errors in requests |
 
+mod deduplication;
 mod error;
 mod forwarded;
 mod query;
@@ -86,6 +88,8 @@
     pub supports_chunked: bool,
     /// `insert_deduplication_token`.
     pub deduplication_token: Option<String>,
+    /// Engines use the token to drop repeats: the statement is an INSERT, and none of its settings turns deduplication off.
+    pub is_deduplicated: bool,
 }
 
 /// Text that is forwarded but never logged.
--- a/crates/clickhouse/src/request/query.rs
+++ b/crates/clickhouse/src/request/query.rs
@@ -1,6 +1,8 @@
 //! Parsing of a query's parameters, session and credentials.
 
-use super::{forwarded, statement, Query, RequestError, SessionParams, MAX_ID_BYTES};
+use super::{
+    deduplication, forwarded, statement, Query, RequestError, SessionParams, MAX_ID_BYTES,
+};
 use crate::credentials::Credentials;
 use crate::params::Params;
 use crate::session::{Micros, MAX_SESSION_TIMEOUT, MICROS_PER_SECOND};
@@ -20,6 +22,7 @@
     let id = param_or_header("query_id", "X-ClickHouse-Query-Id");
     let id = id.map(|id| checked_id("query_id", &id)).transpose()?;
     Ok(Query {
+        is_deduplicated: deduplication::is_deduplicated(&params, &statement),
         statement,
         id,
         class: param_or_header("driftfront_class", "X-Driftfront-Class"),
--- a/crates/clickhouse/src/sql/mod.rs
+++ b/crates/clickhouse/src/sql/mod.rs
@@ -36,6 +36,17 @@
 /// `CREATE OR REPLACE TEMPORARY TABLE`.
 const DECIDING_TOKENS: usize = 5;
 
+/// Settings that change how inserts are deduplicated.
+const DEDUPLICATION_SETTINGS: &[&str] = &[
+    "insert_deduplicate",
+    "insert_deduplication_token",
+    "async_insert",
+    "async_insert_deduplicate",
+];
+
+/// Keywords before the rows of an INSERT.
+const ROWS_KEYWORDS: &[&str] = &["values", "format"];
+
 /// The properties of a statement that routing needs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Statement {
@@ -45,6 +56,8 @@
     pub is_idempotent: bool,
     /// The statement is an INSERT.
     pub is_insert: bool,
+    /// The statement names a setting that changes how inserts are deduplicated, or may do so in a part that is not scanned.
+    pub may_set_deduplication: bool,
     /// The effect on the session.
     pub session_effect: SessionEffect,
     /// The table that is written, with the database if the statement names it.
@@ -115,6 +128,7 @@
             is_read: verb == Verb::Read && is_single,
             is_idempotent: verb.is_idempotent() && is_single,
             is_insert: verb == Verb::Insert && !is_compound,
+            may_set_deduplication: may_set_deduplication(&tokens, start.is_complete),
             session_effect: if verb.leaves_state() || is_compound {
                 SessionEffect::LeavesState
             } else {
@@ -136,6 +150,13 @@
     }
 }
 
+/// Whether a statement names a setting for deduplication, or may do so in a part that is not scanned. Only rows follow VALUES and
+/// FORMAT.
+fn may_set_deduplication(tokens: &[Token], is_complete: bool) -> bool {
+    let has_keyword = |keywords| tokens.iter().any(|token| token.is_keyword(keywords));
+    has_keyword(DEDUPLICATION_SETTINGS) || !is_complete && !has_keyword(ROWS_KEYWORDS)
+}
+
 /// The keyword that decides what a statement does.
 struct MainKeyword {
     /// The index of its token.
--- a/crates/coordinator/src/frontends/clickhouse/query.rs
+++ b/crates/coordinator/src/frontends/clickhouse/query.rs
@@ -84,7 +84,7 @@
                 replies::exception_with(404, &e, &[], query.is_head)
             }),
             None if statement.is_idempotent => Ok(self.config.read_class),
-            None if statement.is_insert && query.deduplication_token.is_some() => Ok(self
+            None if query.is_deduplicated => Ok(self
                 .config
                 .deduplicated_class
                 .unwrap_or(self.config.write_class)),
@@ -142,6 +142,8 @@
         is_exclusive: affinity.is_exclusive,
     });
     let is_exclusive = affinity.is_some_and(|affinity| affinity.is_exclusive);
+    let deduplication_token = query.deduplication_token.as_deref();
+    let deduplication_token = deduplication_token.filter(|_| query.is_deduplicated);
     let mut url_parameters = query.forwarded_params.clone();
     if is_exclusive {
         // An engine that restarted unnoticed has lost the session; it must report that instead of running the query without
@@ -151,7 +153,7 @@
     ParsedRequest {
         table_group: query.statement.table_group,
         ordering_key: ordering_key(query),
-        idempotency_key: query.deduplication_token.as_deref().map(Rc::from),
+        idempotency_key: deduplication_token.map(Rc::from),
         runs_once: !query.statement.is_idempotent,
         parameters: engine_parameters(query, url_parameters),
         sticky_session,
--- a/crates/coordinator/tests/clickhouse.rs
+++ b/crates/coordinator/tests/clickhouse.rs
@@ -793,52 +793,88 @@
     assert_eq!(site.coordinator.counter("bodies_held_bytes"), 0);
 }
 
-#[test]
-fn deduplication_token_allows_retries_only_where_configured() {
+/// Two engines, and a class `deduplicated` that the settings name for no statement.
+fn site_with_deduplicated_class() -> SiteOptions {
     let keyed_class = "{\"Name\": \"deduplicated\", \"Effect\": \"guarded\", \"KeyScope\": \"all\", \"ByArrival\": true, \
                  \"RepeatWindowUs\": 60000000, \"OnTimeUs\": 3000000, \"DeadlineUs\": 25000000, \"Worth\": 7.5, \
                  \"LateWorth\": 0.6},\n      {\"Name\": \"member-load\"";
-    let plan = || {
-        SiteOptions::with_engines(2)
-            .with("{\"Name\": \"member-load\"", keyed_class)
-            .with(
-                "\"WidthByClass\": [1, 2, 2]",
-                "\"WidthByClass\": [1, 2, 2, 2]",
-            )
-            .with(
-                "\"Loads\": [false, false, true]",
-                "\"Loads\": [false, false, true, true]",
-            )
-            .with(
-                "\"BlockedByLoads\": [false, false, false]",
-                "\"BlockedByLoads\": [false, false, false, false]",
-            )
-    };
-    let target = "/?insert_deduplication_token=batch-7";
-    let insert = "INSERT INTO o.t VALUES (1) /* standin: cut first */";
-    let with_token_class = plan()
+    SiteOptions::with_engines(2)
+        .with("{\"Name\": \"member-load\"", keyed_class)
         .with(
-            "\"write\": \"member-load\"",
-            "\"write\": \"member-load\", \"deduplicated\": \"deduplicated\"",
+            "\"WidthByClass\": [1, 2, 2]",
+            "\"WidthByClass\": [1, 2, 2, 2]",
         )
-        .start();
+        .with(
+            "\"Loads\": [false, false, true]",
+            "\"Loads\": [false, false, true, true]",
+        )
+        .with(
+            "\"BlockedByLoads\": [false, false, false]",
+            "\"BlockedByLoads\": [false, false, false, false]",
+        )
+}
+
+/// As [`site_with_deduplicated_class`], with the class for inserts with a deduplication token.
+fn site_with_token_class() -> SiteOptions {
+    site_with_deduplicated_class().with(
+        "\"write\": \"member-load\"",
+        "\"write\": \"member-load\", \"deduplicated\": \"deduplicated\"",
+    )
+}
+
+const TOKEN_TARGET: &str = "/?insert_deduplication_token=batch-7";
+
+#[test]
+fn deduplication_token_allows_retries_only_where_configured() {
+    let insert = "INSERT INTO o.t VALUES (1) /* standin: cut first */";
+    let with_token_class = site_with_token_class().start();
     assert_eq!(
         (
-            with_token_class.request(target, insert).status,
+            with_token_class.request(TOKEN_TARGET, insert).status,
             with_token_class.request_log.of("INSERT").len()
         ),
         (200, 2)
     );
-    let without_token_class = plan().start();
+    let without_token_class = site_with_deduplicated_class().start();
     assert_eq!(
         (
-            without_token_class.request(target, insert).status,
+            without_token_class.request(TOKEN_TARGET, insert).status,
             without_token_class.request_log.of("INSERT").len()
         ),
         (500, 1)
     );
 }
 
+// Guards against a retry of a statement whose repeats the engines do not drop in spite of its token.
+#[test]
+fn deduplication_token_allows_no_retry_where_engines_ignore_it() {
+    let site = site_with_token_class().start();
+    let list = "1, ".repeat(10_000);
+    for (setting, statement) in [
+        ("insert_deduplicate=0", "INSERT INTO o.off VALUES (1)"),
+        ("async_insert=1", "INSERT INTO o.later VALUES (1)"),
+        (
+            "x=1",
+            "INSERT INTO o.own SETTINGS insert_deduplicate = 0 VALUES (1)",
+        ),
+        (
+            "x=1",
+            &format!("INSERT INTO o.long SELECT 1 WHERE 1 IN ({list}1) SETTINGS async_insert = 1"),
+        ),
+        ("driftfront_class=deduplicated", "OPTIMIZE TABLE o.merged"),
+    ] {
+        let target = format!("{TOKEN_TARGET}&{setting}");
+        let response = site.request(&target, &format!("/* standin: cut */ {statement}"));
+        let start = &statement[..20];
+        assert_eq!(response.status, 500, "{start}");
+        assert_eq!(site.request_log.of(start).len(), 1, "{start}");
+    }
+    let kept = "INSERT INTO o.kept VALUES (1)";
+    let target = format!("{TOKEN_TARGET}&async_insert=1&async_insert_deduplicate=1");
+    let response = site.request(&target, &format!("{kept} /* standin: cut first */"));
+    assert_eq!((response.status, site.request_log.of(kept).len()), (200, 2));
+}
+
 #[test]
 fn progress_is_sent_only_to_clients_that_ask() {
     let site = SiteOptions::with_engines(1)
