ClickHouse: statements behind a semicolon, and literals without an end, are no reads

(1) `SELECT 1; INSERT ...` still counted as a read by its first keyword; servers refuse several statements over HTTP, but the proof should not rest on that. (2) A literal or heredoc without an end hides what follows it, and `$a$` is a name on some servers. (4) Typographic quotes, which newer servers accept, made a sound read with a WITH clause a write.

Change: anything behind a semicolon, and a literal without an end, make a statement that begins as a read, SET or KILL a write; a beginning without an end consumes the text. Typographic quotes are read as quotes; servers that do not know them return a syntax error. `parallel` is `compound` now.

--- a/crates/clickhouse/src/sql/mod.rs
+++ b/crates/clickhouse/src/sql/mod.rs
@@ -10,11 +10,11 @@
 //! | `verb` | what a statement does, by its first keywords |
 //! | `with_clause` | the statement after a WITH clause |
 //! | `tables` | the tables that a statement names |
-//! | `parallel` | statements that run in parallel with another |
+//! | `compound` | whether the text contains more than one statement |
 //! | `kill` | KILL QUERY |
 
+mod compound;
 mod kill;
-mod parallel;
 mod tables;
 mod tokenizer;
 mod verb;
@@ -119,9 +119,11 @@
         };
         let tokens_from_main = &tokens[main.index..];
         let verb = Verb::parse(tokens_from_main, main.is_after_with);
-        let is_compound = parallel::has_parallel_statements(tokens_from_main);
-        // The part that is not scanned could begin another statement.
-        let is_single = start.is_complete && !is_compound;
+        let is_compound = compound::has_parallel_statement(tokens_from_main)
+            || verb.is_idempotent() && compound::has_next_statement(tokens_from_main);
+        // The part that is not scanned, or not understood, could begin another statement.
+        let is_understood = !tokens.contains(&Token::Unterminated);
+        let is_single = start.is_complete && is_understood && !is_compound;
         let is_short = tokens_from_main.len() < DECIDING_TOKENS;
         let may_be_idempotent = verb.is_idempotent() && !is_compound;
         Statement {
--- a/crates/clickhouse/src/sql/tokenizer.rs
+++ b/crates/clickhouse/src/sql/tokenizer.rs
@@ -71,6 +71,7 @@
                 self.read_quoted(first)
                     .map_or(Token::Unterminated, Token::QuotedName),
             ),
+            '\u{2018}' | '\u{201c}' => Some(self.read_typographic_quotes(first)),
             '$' => Some(self.read_heredoc().unwrap_or_else(|| self.read_sign(first))),
             c if is_name_char(c) => Some(self.read_name()),
             c if c.is_whitespace() => {
@@ -151,17 +152,42 @@
         }
     }
 
-    /// Reads a heredoc, `$tag$content$tag$`; `None` if the text is not one.
+    /// Reads text in typographic quotes. Only some servers accept them; others return a syntax error.
+    fn read_typographic_quotes(&mut self, opening: char) -> Token<'a> {
+        let is_name = opening == '\u{201c}';
+        let closing = if is_name { '\u{201d}' } else { '\u{2019}' };
+        self.skip(opening.len_utf8());
+        let Some(end) = self.rest.find(closing) else {
+            return self.skip_unterminated();
+        };
+        let content = Cow::Borrowed(self.skip(end));
+        self.skip(closing.len_utf8());
+        if is_name {
+            Token::QuotedName(content)
+        } else {
+            Token::String(content)
+        }
+    }
+
+    /// Reads a heredoc, `$tag$content$tag$`; `None` if the text does not start with a tag.
     fn read_heredoc(&mut self) -> Option<Token<'a>> {
         let tag_end = self.rest[1..].find(|c: char| !is_name_char(c))? + 1;
         if !self.rest[tag_end..].starts_with('$') {
             return None;
         }
         let (tag, content) = self.rest.split_at(tag_end + 1);
-        let end = content.find(tag)?;
+        let Some(end) = content.find(tag) else {
+            return Some(self.skip_unterminated());
+        };
         self.rest = &content[end + tag.len()..];
         Some(Token::String(Cow::Borrowed(&content[..end])))
     }
+
+    /// Skips the remaining text, so that the search for an end that is missing is not repeated.
+    fn skip_unterminated(&mut self) -> Token<'a> {
+        self.rest = "";
+        Token::Unterminated
+    }
 }
 
 fn is_name_char(c: char) -> bool {
--- a/crates/clickhouse/src/sql/with_clause.rs
+++ b/crates/clickhouse/src/sql/with_clause.rs
@@ -77,8 +77,7 @@
     None
 }
 
-/// Whether a character is part of an operator or separates expressions. Others, such as typographic quotes, begin a literal on some
-/// servers only.
+/// Whether a character is part of an operator or separates expressions. Others begin a comment or literal on some servers only.
 fn is_operator(sign: char) -> bool {
     "+-*/%=<>!|?:,;^@&~".contains(sign)
 }
--- a/crates/clickhouse/tests/sql.rs
+++ b/crates/clickhouse/tests/sql.rs
@@ -109,6 +109,7 @@
         "WITH $h$ ' $h$ AS a INSERT INTO t SELECT a, ' AS c SELECT '",
         "WITH $$ \" $$ AS a INSERT INTO t SELECT a, \" AS c SELECT \"",
         "/* /* */ SELECT 1 */ INSERT INTO t SELECT 2",
+        "WITH \u{2018}' AS a SELECT\u{2019} AS b INSERT INTO t SELECT b",
         "WITH 1 AS a /* /* */ SELECT 1 */ INSERT INTO t SELECT 2",
         "#! SELECT\n# SELECT\nINSERT INTO t SELECT 2",
     ] {
@@ -117,10 +118,11 @@
     }
     // Servers differ on these, or return a syntax error.
     for uncertain in [
-        "WITH \u{2018} AS a SELECT \u{2019} AS b INSERT INTO t SELECT b",
         "WITH 1 AS a #SELECT\n SELECT a",
         "/* /* */ SELECT 1",
         "'SELECT 1",
+        "SELECT $a$ PARALLEL WITH INSERT INTO t SELECT 1",
+        "SELECT '; INSERT INTO t SELECT 1",
     ] {
         let scanned = Statement::scan(uncertain);
         assert!(!scanned.is_idempotent && !scanned.is_empty, "{uncertain}");
@@ -133,6 +135,7 @@
         r#"WITH "a\"b" AS x, `c``d` AS y, 'e\'f''g' AS z SELECT x"#,
         "WITH $$'$$ AS a, $tag$ INSERT INTO $t$ $tag$ AS b SELECT a",
         "/* a /* b */ c */ SELECT 1",
+        "WITH \u{201c}it's\u{201d} AS a SELECT \u{2018}\"\u{2019}",
         "#!/usr/bin/clickhouse\n# comment\n--comment\nSELECT $1",
     ] {
         assert!(Statement::scan(read).is_read, "{read}");
@@ -153,13 +156,19 @@
         let scanned = Statement::scan(&statement);
         assert!(!scanned.is_read && !scanned.is_idempotent, "{statement}");
     }
+    for next in [
+        "SELECT 1; INSERT INTO t SELECT 1",
+        "SET a = 1;; DROP TABLE t",
+    ] {
+        assert!(!Statement::scan(next).is_idempotent, "{next}");
+    }
     let kill = "KILL QUERY WHERE query_id = 'a' SYNC PARALLEL WITH INSERT INTO t SELECT x";
     assert_eq!(Statement::scan(kill).kill.expect("a kill").ids, None);
     let insert = "INSERT INTO t VALUES (1) PARALLEL WITH ALTER TABLE t DELETE WHERE 1";
     assert!(!Statement::scan(insert).is_insert);
     for read in [
         "SELECT count() FROM t GROUP BY parallel WITH TOTALS",
-        "SELECT 1 AS parallel, 'PARALLEL WITH INSERT' AS b",
+        "SELECT 1 AS parallel, 'PARALLEL WITH INSERT; DROP' AS b;",
         "SELECT * FROM t ORDER BY parallel WITH FILL",
     ] {
         assert!(Statement::scan(read).is_read, "{read}");
@@ -313,3 +322,13 @@
         assert_eq!(table_group(statement), group, "{statement}");
     }
 }
+
+// Guards against a search for an end that is repeated for each of many beginnings.
+#[test]
+fn scanning_time_is_linear_in_heredocs_without_an_end() {
+    let many: String = (0..40_000).map(|n| format!("$a{n}$ ")).collect();
+    let text = format!("SELECT 1 {many}");
+    let start = std::time::Instant::now();
+    assert!(!Statement::scan(&text).is_read);
+    assert!(start.elapsed() < std::time::Duration::from_secs(1));
+}
