Names: keywords and items for words in the mock engine's SQL and KILL; shorter test names

Cause: parts that this work touched still used withdrawn words, and seven of its test names had over 60 characters.

--- a/crates/clickhouse/src/sql/kill.rs
+++ b/crates/clickhouse/src/sql/kill.rs
@@ -25,7 +25,7 @@
         let is_supported = !condition.ids.is_empty() && options.are_supported && !is_on_cluster;
         KillQuery {
             ids: is_supported.then_some(condition.ids),
-            options: options.words.join(" "),
+            options: options.names.join(" "),
         }
     }
 
@@ -91,30 +91,30 @@
 
 /// The options after the condition.
 struct Options<'a> {
-    words: Vec<&'a str>,
-    /// All tokens are words, and the first is a known option. Otherwise they may belong to the condition, as in `OR 1`.
+    names: Vec<&'a str>,
+    /// All tokens are names, and the first is a known option. Otherwise they may belong to the condition, as in `OR 1`.
     are_supported: bool,
 }
 
 impl Options<'_> {
     fn parse<'a>(tokens: &'a [Token<'a>]) -> Options<'a> {
-        let mut words = Vec::new();
-        let mut are_words = true;
+        let mut names = Vec::new();
+        let mut are_names = true;
         for token in tokens {
             match token {
-                Token::Name(word) => words.push(*word),
+                Token::Name(name) => names.push(*name),
                 Token::Sign(';') => {}
-                _ => are_words = false,
+                _ => are_names = false,
             }
         }
-        let is_known = words.first().is_none_or(|first| {
+        let is_known = names.first().is_none_or(|first| {
             OPTION_KEYWORDS
                 .iter()
                 .any(|k| first.eq_ignore_ascii_case(k))
         });
         Options {
-            words,
-            are_supported: are_words && is_known,
+            names,
+            are_supported: are_names && is_known,
         }
     }
 }
--- a/crates/coordinator/tests/repeated_statements.rs
+++ b/crates/coordinator/tests/repeated_statements.rs
@@ -23,7 +23,7 @@
 
 // Guards against an INSERT behind a WITH clause that counts as a read, is sent again, and writes its rows twice.
 #[test]
-fn insert_after_a_with_clause_is_sent_once_when_its_engine_is_lost() {
+fn insert_after_a_with_clause_is_sent_once() {
     let site = Site::start(2);
     let inserts = [
         "WITH fresh AS (SELECT id FROM uni_4.inbox) INSERT INTO uni_4.a SELECT id FROM fresh",
@@ -39,7 +39,7 @@
 
 // Guards against an INSERT in the body that is sent again because the part of its statement in the URL looks like a read.
 #[test]
-fn insert_split_between_url_and_body_is_sent_once_when_its_engine_is_lost() {
+fn insert_split_between_url_and_body_is_sent_once() {
     let site = Site::start(2);
     let in_url = "/?query=WITH+1+AS+a+%2F*+standin:+cut+*%2F";
     let response = site.request(in_url, "INSERT INTO uni_4.split SELECT a");
@@ -49,7 +49,7 @@
 
 // Guards against an INSERT that is sent again because another statement, which only reads, precedes it.
 #[test]
-fn insert_parallel_to_a_read_is_sent_once_when_its_engine_is_lost() {
+fn insert_parallel_to_a_read_is_sent_once() {
     let site = Site::start(2);
     let list = "1, ".repeat(10_000);
     let response = site.query(&format!(
@@ -60,7 +60,7 @@
 
 // Guards against a write that is sent again because its class, by default or by the client's choice, is one of repeatable requests.
 #[test]
-fn write_in_a_class_of_reads_is_sent_once_when_its_engine_is_lost() {
+fn write_in_a_class_of_reads_is_sent_once() {
     let site = SiteOptions::with_engines(2)
         .with("\"write\": \"member-load\"", "\"write\": \"lookup\"")
         .start();
@@ -83,7 +83,7 @@
 
 // Guards against a write that is cancelled half-way when its client leaves, as only a read may be.
 #[test]
-fn write_in_a_class_of_reads_runs_on_when_its_client_disconnects() {
+fn write_in_a_class_of_reads_outlives_its_client() {
     let site = Site::start(1);
     let target = "/?driftfront_class=report";
     let write = "INSERT INTO uni_4.left VALUES (1) /* standin: sleep_ms=500 */";
@@ -116,7 +116,7 @@
 }
 
 #[test]
-fn read_after_a_with_clause_is_retried_when_its_engine_is_lost() {
+fn read_after_a_with_clause_is_retried() {
     let site = Site::start(2);
     let reads = [
         "WITH 'INSERT INTO t' AS a SELECT 1",
--- a/crates/core/tests/engine_list.rs
+++ b/crates/core/tests/engine_list.rs
@@ -8,7 +8,7 @@
 
 // Guards against an attempt that is planned on an engine by the list before the one that is being applied.
 #[test]
-fn attempt_is_not_planned_on_an_engine_that_the_same_list_drains() {
+fn attempt_is_not_planned_on_an_engine_that_the_list_drains() {
     let mut core = core(settings(str::to_string), LIMITS);
     let bound_to = |engine, is_exclusive, name: &str| ParsedRequest {
         ordering_key: Some(1),
--- a/crates/mock-servers/src/engine/faults.rs
+++ b/crates/mock-servers/src/engine/faults.rs
@@ -14,8 +14,8 @@
     pub(super) fn parse(statement: &str) -> Faults {
         let comment = statement.split(COMMENT_START).nth(1);
         let comment = comment.and_then(|text| text.split("*/").next());
-        let words = comment.unwrap_or_default().split_whitespace();
-        let faults = words.map(|word| word.split_once('=').unwrap_or((word, "")));
+        let items = comment.unwrap_or_default().split_whitespace();
+        let faults = items.map(|item| item.split_once('=').unwrap_or((item, "")));
         Faults(
             faults
                 .map(|(name, value)| (name.to_string(), value.to_string()))
--- a/crates/mock-servers/src/engine/insert.rs
+++ b/crates/mock-servers/src/engine/insert.rs
@@ -155,7 +155,7 @@
 fn after_statement(body: &[u8]) -> &[u8] {
     let start = &body[..body.len().min(FIRST_BODY_BYTES)];
     let text = String::from_utf8_lossy(start).to_ascii_lowercase();
-    let end_of = |word: &str| text.find(word).map(|at| at + word.len());
+    let end_of = |keyword: &str| text.find(keyword).map(|at| at + keyword.len());
     let end_of_format = end_of(" format ").map(|at| {
         let name = text[at..].trim_start();
         let name_start = text.len() - name.len();
--- a/crates/mock-servers/src/engine/sql/mod.rs
+++ b/crates/mock-servers/src/engine/sql/mod.rs
@@ -8,11 +8,11 @@
 
 use super::exception::{code, Exception};
 use std::collections::BTreeMap;
-use text::{find_word, first_word, name, strip_words, without_comments};
+use text::{find_keyword, name, split_first_token, strip_keywords, without_comments};
 
 /// Maximum length of the statement's text in a syntax error, in characters.
 const MAX_SHOWN_CHARS: usize = 30;
-/// The first words of statements that only read, unless an insert follows the WITH clause.
+/// The first keywords of statements that only read, unless an insert follows the WITH clause.
 const READ_VERBS: &[&str] = &[
     "select", "with", "show", "describe", "desc", "exists", "explain", "check",
 ];
@@ -94,14 +94,14 @@
     if let Some(insert) = after_insert_into(text) {
         return Ok(parse_insert(insert));
     }
-    let (text, format) = match find_word(text, "format") {
+    let (text, format) = match find_keyword(text, "format") {
         Some(at) => {
             let format = name(&text[at + "format".len()..]);
             (text[..at].trim(), Some(format))
         }
         None => (text, None),
     };
-    let text = find_word(text, "settings").map_or(text, |at| text[..at].trim());
+    let text = find_keyword(text, "settings").map_or(text, |at| text[..at].trim());
     let statement = parse_statement(text, scope)?;
     Ok(Parsed { statement, format })
 }
@@ -109,11 +109,11 @@
 /// Returns what follows `INSERT INTO` in an insert without comments, which may start with a WITH clause.
 fn after_insert_into(text: &str) -> Option<&str> {
     let text = text.trim_start();
-    let insert = match strip_words(text, &["with"]) {
-        Some(_) => &text[find_word(text, "insert")?..],
+    let insert = match strip_keywords(text, &["with"]) {
+        Some(_) => &text[find_keyword(text, "insert")?..],
         None => text,
     };
-    strip_words(insert, &["insert", "into"])
+    strip_keywords(insert, &["insert", "into"])
 }
 
 /// Whether a statement consists of comments and white space.
@@ -124,7 +124,8 @@
 /// Whether a statement may run in read-only mode. This check shares no code with the coordinator's.
 pub(super) fn is_read_only(text: &str) -> bool {
     let text = without_comments(text);
-    let (verb, _) = first_word(text.trim_start_matches(|c: char| c == '(' || c.is_whitespace()));
+    let (verb, _) =
+        split_first_token(text.trim_start_matches(|c: char| c == '(' || c.is_whitespace()));
     let is_read_verb = READ_VERBS.iter().any(|v| v.eq_ignore_ascii_case(verb));
     is_read_verb && after_insert_into(&text).is_none()
 }
@@ -133,15 +134,16 @@
 pub(crate) fn inserted_table(statement: &str) -> Option<String> {
     let text = without_comments(statement);
     let target = after_insert_into(&text)?;
-    Some(name(strip_words(target, &["table"]).unwrap_or(target)))
+    Some(name(strip_keywords(target, &["table"]).unwrap_or(target)))
 }
 
 /// Parses what follows `INSERT INTO`.
 fn parse_insert(text: &str) -> Parsed {
-    let text = strip_words(text, &["table"]).unwrap_or(text);
-    let (_, rest) = first_word(text);
-    let format = find_word(rest, "format").map(|at| first_word(&rest[at + "format".len()..]));
-    let values = find_word(rest, "values").map(|at| &rest[at + "values".len()..]);
+    let text = strip_keywords(text, &["table"]).unwrap_or(text);
+    let (_, rest) = split_first_token(text);
+    let format =
+        find_keyword(rest, "format").map(|at| split_first_token(&rest[at + "format".len()..]));
+    let values = find_keyword(rest, "values").map(|at| &rest[at + "values".len()..]);
     let inline = format.map(|(_, inline)| inline).or(values);
     let format = format
         .map(|(format, _)| format)
@@ -156,13 +158,13 @@
 }
 
 fn parse_statement(text: &str, scope: &Scope) -> Result<Statement, Exception> {
-    let (verb, rest) = first_word(text);
+    let (verb, rest) = split_first_token(text);
     match verb.to_ascii_lowercase().as_str() {
         "select" | "with" => select::parse(rest, scope),
         "create" => parse_create(rest).ok_or_else(|| syntax_error(text)),
         "drop" => {
-            let rest = strip_words(rest, &["table"]).ok_or_else(|| syntax_error(text))?;
-            let rest = strip_words(rest, &["if", "exists"]).unwrap_or(rest);
+            let rest = strip_keywords(rest, &["table"]).ok_or_else(|| syntax_error(text))?;
+            let rest = strip_keywords(rest, &["if", "exists"]).unwrap_or(rest);
             Ok(Statement::Drop(name(rest)))
         }
         "set" => {
@@ -171,10 +173,10 @@
             Ok(Statement::Set(name.trim().into(), value.into()))
         }
         "use" => Ok(Statement::Use(name(rest))),
-        "show" if strip_words(rest, &["tables"]).is_some() => Ok(Statement::ShowTables),
-        "show" if strip_words(rest, &["processlist"]).is_some() => Ok(Statement::Processes),
+        "show" if strip_keywords(rest, &["tables"]).is_some() => Ok(Statement::ShowTables),
+        "show" if strip_keywords(rest, &["processlist"]).is_some() => Ok(Statement::Processes),
         "exists" => {
-            let rest = strip_words(rest, &["table"]).unwrap_or(rest);
+            let rest = strip_keywords(rest, &["table"]).unwrap_or(rest);
             Ok(Statement::Exists(name(rest)))
         }
         "kill" => {
@@ -188,10 +190,10 @@
 
 /// Parses what follows `CREATE`.
 fn parse_create(text: &str) -> Option<Statement> {
-    let text = strip_words(text, &["or", "replace"]).unwrap_or(text);
-    let temporary = strip_words(text, &["temporary"]);
-    let text = strip_words(temporary.unwrap_or(text), &["table"])?;
-    let text = strip_words(text, &["if", "not", "exists"]).unwrap_or(text);
+    let text = strip_keywords(text, &["or", "replace"]).unwrap_or(text);
+    let temporary = strip_keywords(text, &["temporary"]);
+    let text = strip_keywords(temporary.unwrap_or(text), &["table"])?;
+    let text = strip_keywords(text, &["if", "not", "exists"]).unwrap_or(text);
     Some(Statement::Create {
         table: name(text),
         temporary: temporary.is_some(),
--- a/crates/mock-servers/src/engine/sql/select.rs
+++ b/crates/mock-servers/src/engine/sql/select.rs
@@ -1,13 +1,13 @@
 //! Parses SELECT statements.
 
 use super::expression::{Column, Expression, Value};
-use super::text::{find_word, first_word, name, split};
+use super::text::{find_keyword, name, split, split_first_token};
 use super::{syntax_error, Rows, Scope, Statement};
 use crate::engine::exception::Exception;
 
 /// Parses what follows `SELECT`.
 pub(super) fn parse(text: &str, scope: &Scope) -> Result<Statement, Exception> {
-    let (expressions, from) = match find_word(text, "from") {
+    let (expressions, from) = match find_keyword(text, "from") {
         Some(at) => (&text[..at], Some(text[at + "from".len()..].trim())),
         None => (text, None),
     };
@@ -21,7 +21,7 @@
     let mut sleep = 0.0;
     let mut columns = Vec::new();
     for column in split(expressions, ',') {
-        let (text, alias) = match find_word(column, "as") {
+        let (text, alias) = match find_keyword(column, "as") {
             Some(at) => (&column[..at], Some(name(&column[at + "as".len()..]))),
             None => (column, None),
         };
@@ -49,11 +49,11 @@
 
 /// Parses what follows `FROM`.
 fn parse_source(from: &str, expressions: &str) -> Result<Source, Exception> {
-    let limit = find_word(from, "limit").map(|at| name(&from[at + "limit".len()..]));
+    let limit = find_keyword(from, "limit").map(|at| name(&from[at + "limit".len()..]));
     let limit = limit
         .map(|limit| limit.parse::<u64>().map_err(|_| syntax_error(from)))
         .transpose()?;
-    let (source, rest) = first_word(from);
+    let (source, rest) = split_first_token(from);
     let source = source.trim_matches('`');
     let argument = rest.trim_start().strip_prefix('(');
     Ok(match source.to_ascii_lowercase().as_str() {
--- a/crates/mock-servers/src/engine/sql/text.rs
+++ b/crates/mock-servers/src/engine/sql/text.rs
@@ -1,4 +1,4 @@
-//! Finds words, brackets and strings in a statement's text.
+//! Finds keywords, brackets and strings in a statement's text.
 
 /// Removes comments outside strings.
 pub(super) fn without_comments(text: &str) -> String {
@@ -23,19 +23,19 @@
     out
 }
 
-/// Splits the text after its first word, which ends at white space or an opening bracket.
-pub(super) fn first_word(text: &str) -> (&str, &str) {
+/// Splits the text after its first token, which ends at white space or an opening bracket.
+pub(super) fn split_first_token(text: &str) -> (&str, &str) {
     let text = text.trim_start();
     let end = text.find(|c: char| c.is_whitespace() || c == '(');
     text.split_at(end.unwrap_or(text.len()))
 }
 
-/// Returns the text after these words if it starts with them, ignoring case.
-pub(super) fn strip_words<'a>(text: &'a str, words: &[&str]) -> Option<&'a str> {
+/// Returns the text after these keywords if it starts with them, ignoring case.
+pub(super) fn strip_keywords<'a>(text: &'a str, keywords: &[&str]) -> Option<&'a str> {
     let mut remaining = text;
-    for word in words {
-        let (first, rest) = first_word(remaining);
-        if !first.eq_ignore_ascii_case(word) {
+    for keyword in keywords {
+        let (first, rest) = split_first_token(remaining);
+        if !first.eq_ignore_ascii_case(keyword) {
             return None;
         }
         remaining = rest;
@@ -43,10 +43,10 @@
     Some(remaining)
 }
 
-/// Returns the first word as a name, without quotes.
+/// Returns the first token as a name, without quotes.
 pub(super) fn name(text: &str) -> String {
-    let (word, _) = first_word(text);
-    word.trim_matches(['`', '"', ';']).to_string()
+    let (token, _) = split_first_token(text);
+    token.trim_matches(['`', '"', ';']).to_string()
 }
 
 /// Splits the text at each separator outside brackets and strings.
@@ -69,9 +69,9 @@
     parts
 }
 
-/// Finds a word outside brackets and strings, ignoring case; `wanted` must be in lower case.
-pub(super) fn find_word(text: &str, wanted: &str) -> Option<usize> {
-    let is_in_word = |c: char| c.is_alphanumeric() || c == '_';
+/// Finds a keyword outside brackets and strings, ignoring case; `wanted` must be in lower case.
+pub(super) fn find_keyword(text: &str, wanted: &str) -> Option<usize> {
+    let is_name_char = |c: char| c.is_alphanumeric() || c == '_';
     let lower = text.to_ascii_lowercase();
     let (mut depth, mut is_in_string) = (0, false);
     for (at, c) in text.char_indices() {
@@ -81,11 +81,11 @@
             ')' if !is_in_string => depth -= 1,
             _ => {}
         }
-        if depth != 0 || is_in_string || text[..at].ends_with(is_in_word) {
+        if depth != 0 || is_in_string || text[..at].ends_with(is_name_char) {
             continue;
         }
         if let Some(rest) = lower[at..].strip_prefix(wanted) {
-            if !rest.starts_with(is_in_word) {
+            if !rest.starts_with(is_name_char) {
                 return Some(at);
             }
         }
