Core: the scheduler knows the new list before the requests that it strands are ended

Cause: `update_engines` ended requests whose session is bound to an engine that the list takes out before it passed the list to the scheduler. The end of such a request lets the next one of its key be routed, so that it could be planned on an engine that the same list drains. May_write_attempt kept it from being written; the request lost a turn. Older than this work, found by the core's model.

Change: such requests are answered first, as before; the scheduler is told of their end after the list.

--- a/crates/core/src/engine_list.rs
+++ b/crates/core/src/engine_list.rs
@@ -16,7 +16,7 @@
         for listed in list {
             self.engine_phases.insert(listed.engine, listed.phase);
         }
-        self.end_stranded_requests(now);
+        let stranded = self.fail_stranded_requests();
         self.notify_scheduler(
             now,
             Event::EnginesListed {
@@ -24,6 +24,10 @@
                 engines: list,
             },
         );
+        // The end of a request lets the next one of its ordering key be sent, for which the new list must be known.
+        for id in stranded {
+            self.notify_scheduler(now, Event::ClientLeft(id.query()));
+        }
         self.forget_gone_engines();
     }
 
@@ -38,17 +42,17 @@
         }
     }
 
-    /// Fails requests without an attempt in flight whose session is bound to an engine that no longer accepts queries. The
-    /// scheduler could not place them anywhere, and the client gets the reason.
-    fn end_stranded_requests(&mut self, now: Micros) {
+    /// Fails requests without an attempt in flight whose session is bound to an engine that no longer accepts queries, and returns
+    /// them. The scheduler could not place them anywhere, and the client gets the reason.
+    fn fail_stranded_requests(&mut self) -> Vec<RequestId> {
         let stranded = self.requests.iter().filter(|(_, r)| self.is_stranded(r));
         let stranded: Vec<RequestId> = stranded.map(|(id, _)| *id).collect();
-        for id in stranded {
-            let request = self.requests.get(&id);
+        for id in &stranded {
+            let request = self.requests.get(id);
             let error_text = request.and_then(|r| r.parsed.session_lost_error.clone());
-            self.fail_with(id, error_text);
-            self.notify_scheduler(now, Event::ClientLeft(id.query()));
+            self.fail_with(*id, error_text);
         }
+        stranded
     }
 
     fn is_stranded(&self, request: &Request) -> bool {
