Tests: reads and hidden inserts in every content coding and block compression

Cause: that a body is taken for complete only if all of it was decoded was tested with gzip alone.

Change: one test over five codings and three block methods; in each coding a second stream behind the first holds an INSERT.

--- a/crates/clickhouse/tests/request.rs
+++ b/crates/clickhouse/tests/request.rs
@@ -185,6 +185,33 @@
     assert!(!read.statement.is_read);
 }
 
+#[test]
+fn read_is_found_in_every_coding_and_compression() {
+    let select = b"WITH 1 AS a SELECT a";
+    for name in ["gzip", "deflate", "br", "zstd", "lz4"] {
+        let coding = Coding::from_name(name).expect("a known coding");
+        let body = driftfront_clickhouse::coding::compress(coding, select).expect("compresses");
+        let is_read = |body: &[u8]| {
+            let read = query("POST", "/", &[("Content-Encoding", name)], body);
+            read.expect("a query").statement.is_read
+        };
+        assert!(is_read(&body), "{name}");
+        // Servers may decode a second stream behind the first one.
+        let insert = b" PARALLEL WITH INSERT INTO t SELECT 1";
+        let insert = driftfront_clickhouse::coding::compress(coding, insert).expect("compresses");
+        assert!(!is_read(&[body, insert].concat()), "{name}");
+    }
+    for method in [Method::None, Method::Lz4, Method::Zstd] {
+        let body = [
+            compress(method, &select[..7]),
+            compress(method, &select[7..]),
+        ]
+        .concat();
+        let read = query("POST", "/?decompress=1", &[], &body).expect("a query");
+        assert!(read.statement.is_read, "{method:?}");
+    }
+}
+
 #[test]
 fn long_body_in_blocks_with_a_content_coding_is_read() {
     let long = format!("INSERT INTO uni_4.t VALUES {}", "('a'),".repeat(60_000));
