--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -5,6 +5,7 @@
 mod case_discovery;
 mod case_insert;
 mod case_memory;
+mod case_restart;
 mod case_result;
 mod case_upgrade;
 mod engine;
@@ -27,6 +28,7 @@
         "watch-reordered" => case_discovery::reordered(),
         "watch-silent" => case_discovery::silent(),
         "half-written" => case_memory::half_written(),
+        "restart-held-socket" => case_restart::held_socket(),
         "discovery-slow" => case_upgrade::slow_discovery(),
         "upgrade-stale-list" => case_upgrade::stale_list(),
         _ => run::Outcome::NotRun(format!("there is no case {number}")),
