--- a/review/lib-2/case_result.rs
+++ b/review/lib-2/case_result.rs
@@ -4,6 +4,7 @@
 use crate::engine::{self, SecondCopies, Served, Shared};
 use crate::http::{post, Response};
 use crate::run::{self, lock, note, now_ms, sleep_ms, Outcome};
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -244,3 +245,155 @@
         sleep_ms(number * 13 % 30);
     }
 }
+
+const CUT_RUN_MS: u64 = 30_000;
+const READERS: u64 = 12;
+const LOADERS: u64 = 6;
+/// The first part of a streamed insert, a little over 1 MiB.
+const FIRST_PART_BYTES: usize = 1_088_000;
+
+/// Engines send one answer in four twice, at once, and reset the connection of each insert as it begins.
+pub fn copies_and_resets() -> Outcome {
+    let shared = Arc::new(Shared::default());
+    let ports: Vec<u16> = (1..=2)
+        .map(|n| engine::start(&format!("engine-{n}"), &shared))
+        .collect();
+    let port = run::free_port();
+    let file = run::write_file(
+        "operator.kdl",
+        &format!(
+            r#"listen "127.0.0.1:{port}"
+front "clickhouse"
+engines {{
+    engine "engine-1" at="127.0.0.1:{}" building="main" kind="std-8"
+    engine "engine-2" at="127.0.0.1:{}" building="main" kind="std-8"
+}}
+class "lookup" wanted="500 ms" patience="2.5 s" worth=1 threads=1
+class "import" wanted="3 s" patience="25 s" worth=7.5 threads=2 once=#true holds-tables=#true
+reads "lookup"
+writes "import"
+limits memory-mb=192 sockets=1024 open=2000
+"#,
+            ports[0], ports[1]
+        ),
+    );
+    let coordinator = run::start_coordinator(&file, port);
+    if run::has_trouble() {
+        *lock(&shared.second_copies) = Some(SecondCopies {
+            every: 4,
+            within_ms: 0,
+            probe_ms: 1,
+        });
+        *lock(&shared.insert_trouble) = Some(engine::InsertTrouble::AlwaysReset);
+    }
+    let (stop, seen, loads) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(Seen::default()),
+        Arc::new(Seen::default()),
+    );
+    let mut clients = Vec::new();
+    for reader in 1..=READERS {
+        let (stop, seen) = (stop.clone(), seen.clone());
+        clients.push(std::thread::spawn(move || {
+            read_words(reader, port, &stop, &seen)
+        }));
+    }
+    for _ in 0..LOADERS {
+        let (stop, loads) = (stop.clone(), loads.clone());
+        clients.push(std::thread::spawn(move || load_parts(port, &stop, &loads)));
+    }
+    sleep_ms(CUT_RUN_MS);
+    stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    if !run::is_running(coordinator) {
+        return Outcome::NotRun("the coordinator has ended".into());
+    }
+    let count = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
+    let (reads, foreign_reads) = (count(&seen.served), count(&seen.foreign_reads));
+    let (served, otherwise, foreign) = (
+        count(&loads.served),
+        count(&loads.otherwise),
+        count(&loads.foreign_inserts),
+    );
+    note(&format!(
+        "reads: {reads} served, {} otherwise, {foreign_reads} with foreign rows; inserts: {served} served, {otherwise} otherwise, \
+         {foreign} of the served with rows in their answer; rows applied: {}",
+        count(&seen.otherwise),
+        lock(&shared.applied).len()
+    ));
+    if reads == 0 || served + otherwise == 0 {
+        return Outcome::NotRun("nothing was answered".into());
+    }
+    let first = lock(&loads.first).clone().or(lock(&seen.first).clone());
+    if run::has_trouble() && served > 0 || foreign_reads > 0 || foreign > 0 {
+        return Outcome::Broken(format!(
+            "{served} of {} inserts, none of which any engine read, were answered as served, {foreign} of them with rows of another \
+             client's read; {foreign_reads} reads got foreign rows; the first: {}",
+            served + otherwise,
+            first.unwrap_or_default()
+        ));
+    }
+    Outcome::Held(format!(
+        "{reads} reads and {served} inserts were served, each with its own result"
+    ))
+}
+
+fn read_words(reader: u64, port: u16, stop: &AtomicBool, seen: &Seen) {
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let (statement, expected) = (
+            format!("SELECT r{reader}n{number}"),
+            format!("r{reader}n{number}\n"),
+        );
+        match post(port, "/", &statement, Duration::from_secs(6)) {
+            Some(response) if response.status == 200 => {
+                seen.served.fetch_add(1, Ordering::SeqCst);
+                if response.body != expected.as_bytes() {
+                    seen.foreign_reads.fetch_add(1, Ordering::SeqCst);
+                    lock(&seen.first)
+                        .get_or_insert(format!("{statement}: {}", describe(&Some(response))));
+                }
+            }
+            _ => {
+                seen.otherwise.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    }
+}
+
+fn load_parts(port: u16, stop: &AtomicBool, seen: &Seen) {
+    while !stop.load(Ordering::Relaxed) {
+        let response = load_once(port);
+        match response {
+            Some(response) if response.status == 200 => {
+                seen.served.fetch_add(1, Ordering::SeqCst);
+                if !response.body.is_empty() {
+                    seen.foreign_inserts.fetch_add(1, Ordering::SeqCst);
+                    lock(&seen.first)
+                        .get_or_insert(format!("an insert: {}", describe(&Some(response))));
+                }
+            }
+            _ => {
+                seen.otherwise.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+        sleep_ms(20);
+    }
+}
+
+/// Sends one streamed insert in two parts.
+fn load_once(port: u16) -> Option<Response> {
+    let mut stream = crate::http::connect(port)?;
+    let rows = "0123456789abcde\n".repeat(FIRST_PART_BYTES / 16);
+    let head = "POST /?query=INSERT%20INTO%20alumni.loaded%20FORMAT%20TSV HTTP/1.1\r\nHost: site\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream
+        .write_all(format!("{head}{:x}\r\n{rows}\r\n", rows.len()).as_bytes())
+        .ok()?;
+    sleep_ms(50);
+    // The answer may have come, and the connection may be closing: what cannot be sent any more is not.
+    let _ = stream.write_all(b"10\r\n0123456789abcde\n\r\n0\r\n\r\n");
+    crate::http::read_response(&stream, Duration::from_secs(26))
+}
--- a/review/lib-2/engine.rs
+++ b/review/lib-2/engine.rs
@@ -19,6 +19,8 @@
 pub enum InsertTrouble {
     /// The engine is full: it answers code 202 before it reads the rows.
     Refused,
+    /// Each insert's connection is reset as it begins: nothing of any insert is read or applied.
+    AlwaysReset,
     /// The connection is reset under the insert, this long after this many bytes of rows have been read.
     ResetAfter { bytes: usize, ms: u64 },
 }
@@ -28,7 +30,7 @@
 pub struct SecondCopies {
     /// Each answer of this number gets a second copy ...
     pub every: u64,
-    /// ... at most this much later.
+    /// ... at most this much later; with 0, at once.
     pub within_ms: u64,
     /// The answer to a probe takes at most this long.
     pub probe_ms: u64,
@@ -122,10 +124,13 @@
             answered_at: Some(now_ms()),
         },
     );
-    answer(stream, head, 200, fields, &body)?;
     let copies =
         (*lock(&shared.second_copies)).filter(|copies| number.is_multiple_of(copies.every));
-    if let Some(copies) = copies {
+    let is_doubled = copies.is_some_and(|copies| copies.within_ms == 0);
+    let text = response(head, 200, fields, &body).repeat(if is_doubled { 2 } else { 1 });
+    let mut writer = stream;
+    writer.write_all(text.as_bytes()).ok()?;
+    if let Some(copies) = copies.filter(|_| !is_doubled) {
         let (mut stream, text) = (stream.try_clone().ok()?, response(head, 200, fields, &body));
         let delay_ms = 1 + number / copies.every % copies.within_ms;
         std::thread::spawn(move || {
@@ -144,8 +149,17 @@
     name: &str,
     shared: &Shared,
 ) -> Option<()> {
-    note(&format!("{name}: an insert begins"));
-    let trouble = lock(&shared.insert_trouble).take();
+    let trouble = {
+        let mut next = lock(&shared.insert_trouble);
+        match *next {
+            Some(InsertTrouble::AlwaysReset) => *next,
+            _ => next.take(),
+        }
+    };
+    if trouble == Some(InsertTrouble::AlwaysReset) {
+        reset(stream);
+        return None;
+    }
     if trouble == Some(InsertTrouble::Refused) {
         let text = "Code: 202. DB::Exception: Too many simultaneous queries. Maximum: 100. \
                     (TOO_MANY_SIMULTANEOUS_QUERIES)\n";
@@ -163,6 +177,7 @@
         while read_chunk(reader).is_some_and(|chunk| !chunk.is_empty()) {}
         return None;
     }
+    note(&format!("{name}: an insert begins"));
     let block_rows = head
         .param("max_insert_block_size")
         .and_then(|rows| rows.parse().ok());
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -24,6 +24,7 @@
         "insert-resent" => case_insert::resent(),
         "insert-unanswered" => case_insert::unanswered(),
         "error-after-rows" => case_result::error_after_rows(),
+        "copies-and-resets" => case_result::copies_and_resets(),
         "second-copies" => case_result::second_copies(),
         "watch-reordered" => case_discovery::reordered(),
         "watch-silent" => case_discovery::silent(),
