--- a/review/lib-2/case_insert.rs
+++ b/review/lib-2/case_insert.rs
@@ -14,6 +14,8 @@
 /// The loader needs this long to read the next batch from its source.
 const BATCH_INTERVAL_MS: u64 = 1500;
 const BATCHES: usize = 3;
+/// The engine reads this much of the first batch before the connection is reset.
+const READ_BYTES: usize = 960 * 1024;
 /// `patience` of the class `import` in the operator's file.
 const PATIENCE_MS: u64 = 25_000;
 /// A final answer is due half a second after the client's time at the latest.
@@ -134,7 +136,7 @@
     sleep_ms(1000);
     if run::has_trouble() {
         *lock(&site.shared.insert_trouble) = Some(InsertTrouble::ResetAfter {
-            bytes: BATCH_BYTES,
+            bytes: READ_BYTES,
             ms: 200,
         });
     }
--- a/review/lib-2/engine.rs
+++ b/review/lib-2/engine.rs
@@ -1,7 +1,7 @@
 //! A stand-in engine that speaks the ClickHouse HTTP interface as a sound server does. It answers each read with one row. It
 //! applies the rows of an insert in blocks of `max_insert_block_size` while they arrive, as the interface documents.
 
-use crate::http::{read_body, read_chunk, read_head, Head};
+use crate::http::{read_body, read_chunk, read_head, read_line, Head};
 use crate::run::{lock, note, now_ms, sleep_ms};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -21,7 +21,7 @@
     Refused,
     /// Each insert's connection is reset as it begins: nothing of any insert is read or applied.
     AlwaysReset,
-    /// The connection is reset under the insert, this long after this many bytes of rows have been read.
+    /// The connection is reset under the insert, this long after this many bytes of its first chunk have been read.
     ResetAfter { bytes: usize, ms: u64 },
 }
 
@@ -157,7 +157,7 @@
         }
     };
     if trouble == Some(InsertTrouble::AlwaysReset) {
-        reset(stream);
+        // A close over unread bytes resets the connection.
         return None;
     }
     if trouble == Some(InsertTrouble::Refused) {
@@ -188,6 +188,18 @@
         partial: Vec::new(),
         rows: Vec::new(),
     };
+    if let Some(InsertTrouble::ResetAfter { bytes, ms }) = trouble {
+        // The start of the first chunk, which is longer. A close over unread bytes resets the connection.
+        read_line(reader)?;
+        let mut rows = vec![0; bytes];
+        reader.read_exact(&mut rows).ok()?;
+        insert.add(&rows);
+        sleep_ms(ms);
+        note(&format!(
+            "{name}: the connection is reset after {bytes} bytes of the insert"
+        ));
+        return None;
+    }
     let mut received = 0;
     loop {
         let Some(chunk) = read_chunk(reader) else {
@@ -201,16 +213,6 @@
         }
         received += chunk.len();
         insert.add(&chunk);
-        if let Some(InsertTrouble::ResetAfter { bytes, ms }) = trouble {
-            if received >= bytes {
-                sleep_ms(ms);
-                reset(stream);
-                note(&format!(
-                    "{name}: the connection is reset after {received} bytes of the insert"
-                ));
-                return None;
-            }
-        }
     }
     insert.apply_block();
     note(&format!("{name}: the insert is complete, {received} bytes"));
@@ -251,35 +253,6 @@
     }
 }
 
-/// Makes the close that follows reset the connection.
-fn reset(stream: &TcpStream) {
-    use std::os::fd::AsRawFd;
-    #[repr(C)]
-    struct Linger {
-        is_on: i32,
-        seconds: i32,
-    }
-    extern "C" {
-        fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32)
-            -> i32;
-    }
-    // SOL_SOCKET and SO_LINGER of Linux on x86-64 and arm64: closing with a linger time of 0 sends a reset.
-    let linger = Linger {
-        is_on: 1,
-        seconds: 0,
-    };
-    // SAFETY: the descriptor is open, and the value is a `struct linger` of the length given.
-    unsafe {
-        setsockopt(
-            stream.as_raw_fd(),
-            1,
-            13,
-            &linger,
-            std::mem::size_of::<Linger>() as u32,
-        )
-    };
-}
-
 /// Writes a response. `None` if the connection ends.
 fn answer(
     mut stream: &TcpStream,
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -20,7 +20,13 @@
         std::process::exit(2);
     };
     run::open(folder);
-    let outcome = match number.as_str() {
+    // What was started is ended also after a panic.
+    let outcome = std::panic::catch_unwind(|| play(number));
+    run::end(outcome.unwrap_or_else(|_| run::Outcome::NotRun("the case panicked".into())));
+}
+
+fn play(number: &str) -> run::Outcome {
+    match number {
         "insert-resent" => case_insert::resent(),
         "insert-unanswered" => case_insert::unanswered(),
         "error-after-rows" => case_result::error_after_rows(),
@@ -33,6 +39,5 @@
         "discovery-slow" => case_upgrade::slow_discovery(),
         "upgrade-stale-list" => case_upgrade::stale_list(),
         _ => run::Outcome::NotRun(format!("there is no case {number}")),
-    };
-    run::end(outcome);
+    }
 }
--- a/review/lib-2/run.rs
+++ b/review/lib-2/run.rs
@@ -40,7 +40,7 @@
 pub fn open(folder: &str) {
     let temporary = std::env::temp_dir().join(format!("driftfront-review-{}", std::process::id()));
     let record = File::create(Path::new(folder).join("record.txt"));
-    let opened = std::fs::create_dir_all(&temporary).and(record);
+    let opened = record.and_then(|record| std::fs::create_dir_all(&temporary).map(|()| record));
     let Ok(record) = opened else {
         eprintln!("the record or the temporary folder cannot be created");
         std::process::exit(2);
@@ -141,13 +141,11 @@
 
 /// Sends SIGTERM to a started process.
 pub fn terminate(index: usize) {
-    extern "C" {
-        fn kill(process: i32, signal: i32) -> i32;
+    let command = format!("kill -TERM {}", process_id(index));
+    let sent = Command::new("/bin/sh").args(["-c", &command]).status();
+    if !sent.is_ok_and(|status| status.success()) {
+        end(Outcome::NotRun("SIGTERM cannot be sent".into()));
     }
-    const SIGTERM: i32 = 15;
-    let process = lock(&run().children)[index].id();
-    // SAFETY: the call has no memory effects; the process is a child that has not been waited for.
-    unsafe { kill(process as i32, SIGTERM) };
 }
 
 /// Starts a program, whose log goes to the temporary folder, and waits until it listens on a port.
